--- /dev/null
+++ b/include/daisyspool/core/Errors.h
@@ -0,0 +1,78 @@
+#ifndef DAISYSPOOL_CORE_ERRORS_H
+#define DAISYSPOOL_CORE_ERRORS_H
+
+#include <exception>
+#include <string>
+#include <utility>
+
+namespace daisyspool {
+
+/// Whether a refused or failed request was executed. A refusal says NotRun
+/// only if the request cannot have been executed and never will be.
+enum class Execution { NotRun, Unknown, Run };
+
+/// Returns the value of the `execution` field of a problem document.
+const char *toString(Execution Value);
+
+/// Root of the project's exceptions. Every failure has a type derived from
+/// this one; the text is for people and is never matched on.
+class Error : public std::exception {
+public:
+  explicit Error(std::string Detail) : Detail(std::move(Detail)) {}
+
+  const char *what() const noexcept override { return Detail.c_str(); }
+
+private:
+  std::string Detail;
+};
+
+/// A message between processes that cannot be decoded or has another protocol
+/// version.
+class ProtocolError : public Error {
+  using Error::Error;
+};
+
+/// A settings or inventory file with a mistake at a known place.
+class SettingsError : public Error {
+public:
+  SettingsError(std::string File, int Line, std::string Key, std::string Found,
+                std::string Allowed);
+
+  const std::string &file() const { return File; }
+  int line() const { return Line; }
+  const std::string &key() const { return Key; }
+
+private:
+  std::string File;
+  int Line;
+  std::string Key;
+};
+
+/// The platform's service did not answer, so the effect of a write is unknown.
+class PlatformUnavailable : public Error {
+  using Error::Error;
+};
+
+/// The platform's service refused the call for its rate; nothing changed.
+class PlatformThrottled : public Error {
+  using Error::Error;
+};
+
+/// A conditional write found another value than it required; nothing changed.
+class ConditionFailed : public Error {
+  using Error::Error;
+};
+
+/// The platform's service answered something that its protocol does not allow.
+class PlatformProtocolError : public Error {
+  using Error::Error;
+};
+
+/// A shard, lease or epoch has passed to another owner.
+class FencedOff : public Error {
+  using Error::Error;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_CORE_ERRORS_H
