--- /dev/null
+++ b/src/http/Client.cpp
@@ -0,0 +1,265 @@
+#include "daisyspool/http/Client.h"
+
+#include "http/Convert.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <chrono>
+#include <deque>
+#include <optional>
+
+namespace daisyspool::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+std::exception_ptr failure(ClientError::Kind Reason,
+                           const std::string &Detail) {
+  return std::make_exception_ptr(ClientError(Reason, Detail));
+}
+
+/// One connection and the request in progress on it.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+  ClientConnection(asio::io_context &Io, const Client::Options &Config)
+      : Stream(Io), Config(Config) {}
+
+  void start(Request What, Millis Timeout, Client::ChunkCallback OnChunk,
+             std::function<void(Response, std::exception_ptr, bool)> Done) {
+    this->Timeout = Timeout;
+    this->OnChunk = std::move(OnChunk);
+    this->Done = std::move(Done);
+    prepare(std::move(What));
+    Stream.expires_after(Timeout);
+    if (Connected)
+      return write();
+
+    asio::ip::tcp::endpoint Where(asio::ip::make_address(Config.Server.Address),
+                                  Config.Server.Port);
+    Stream.async_connect(Where, [Self = shared_from_this()](
+                                    boost::system::error_code Failure) {
+      if (Failure)
+        return Self->finish({}, failure(ClientError::Kind::NotSent,
+                                        "connect: " + Failure.message()));
+      boost::system::error_code Ignored;
+      Self->Stream.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+      Self->Connected = true;
+      Self->write();
+    });
+  }
+
+  /// False if the server has closed the connection or sent something unasked.
+  bool reusable() {
+    char Byte = 0;
+    boost::system::error_code Reading;
+    Stream.socket().non_blocking(true, Reading);
+    Stream.socket().receive(asio::buffer(&Byte, 1),
+                            asio::socket_base::message_peek, Reading);
+    return Reading == asio::error::would_block;
+  }
+
+  SteadyTime IdleSince;
+
+private:
+  void prepare(Request What) {
+    Outgoing = {};
+    Outgoing.version(11);
+    Outgoing.method_string(What.Method);
+    Outgoing.target(What.Target);
+    Outgoing.set(beast::http::field::host, toString(Config.Server));
+    setHeaders(Outgoing, What.Headers);
+    Outgoing.body() = std::move(What.Body);
+    Outgoing.prepare_payload();
+  }
+
+  void write() {
+    beast::http::async_write(
+        Stream, Outgoing,
+        [Self = shared_from_this()](boost::system::error_code Failure,
+                                    std::size_t Sent) {
+          if (Failure)
+            return Self->finish({},
+                                failure(Sent == 0 ? ClientError::Kind::NotSent
+                                                  : ClientError::Kind::NoAnswer,
+                                        "write: " + Failure.message()));
+          Self->readHead();
+        });
+  }
+
+  void readHead() {
+    Parser.emplace();
+    Parser->body_limit(Config.MaxBodyBytes);
+    auto Next = [Self = shared_from_this()](boost::system::error_code Failure,
+                                            std::size_t) {
+      if (Failure)
+        return Self->failRead(Failure);
+      if (!Self->OnChunk)
+        return Self->complete();
+      Self->Head = Self->head();
+      Self->readPiece();
+    };
+    if (OnChunk)
+      beast::http::async_read_header(Stream, Buffer, *Parser, Next);
+    else
+      beast::http::async_read(Stream, Buffer, *Parser, Next);
+  }
+
+  void readPiece() {
+    std::string Piece = std::move(Parser->get().body());
+    Parser->get().body().clear();
+    if (!Piece.empty() && !OnChunk(std::move(Piece)))
+      return finish({}, failure(ClientError::Kind::NoAnswer, "abandoned"));
+    if (Parser->is_done())
+      return finish(std::move(Head), nullptr);
+
+    Stream.expires_after(Timeout);
+    beast::http::async_read_some(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](boost::system::error_code Failure,
+                                    std::size_t) {
+          if (Failure)
+            return Self->failRead(Failure);
+          Self->readPiece();
+        });
+  }
+
+  Response head() const {
+    const auto &Message = Parser->get();
+    return {static_cast<int>(Message.result_int()), toHeaders(Message), {}};
+  }
+
+  void complete() {
+    Response Answer = head();
+    Answer.Body = std::move(Parser->get().body());
+    finish(std::move(Answer), nullptr);
+  }
+
+  void failRead(boost::system::error_code Failure) {
+    bool Malformed =
+        Failure.category() ==
+            make_error_code(beast::http::error::bad_version).category() &&
+        Failure != beast::http::error::end_of_stream &&
+        Failure != beast::http::error::partial_message;
+    finish({}, failure(Malformed ? ClientError::Kind::Malformed
+                                 : ClientError::Kind::NoAnswer,
+                       "read: " + Failure.message()));
+  }
+
+  void finish(Response Answer, std::exception_ptr Failure) {
+    bool Keep = !Failure && Parser && Parser->get().keep_alive();
+    if (Keep)
+      Stream.expires_never();
+    else
+      Stream.close();
+
+    auto Callback = std::move(Done);
+    Done = nullptr;
+    OnChunk = nullptr;
+    Callback(std::move(Answer), std::move(Failure), Keep);
+  }
+
+  beast::tcp_stream Stream;
+  const Client::Options &Config;
+  beast::flat_buffer Buffer;
+  BeastRequest Outgoing;
+  std::optional<beast::http::response_parser<beast::http::string_body>> Parser;
+  Response Head;
+  Client::ChunkCallback OnChunk;
+  std::function<void(Response, std::exception_ptr, bool)> Done;
+  Millis Timeout{};
+  bool Connected = false;
+};
+
+} // namespace
+
+class Client::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Io, Options Config)
+      : Io(Io), Config(std::move(Config)) {}
+
+  void start(Request What, Millis Timeout, ChunkCallback OnChunk,
+             Callback Done) {
+    if (Busy >= Config.MaxConnections) {
+      Done({}, failure(ClientError::Kind::NotSent, "all connections in use"));
+      return;
+    }
+
+    auto Connection = takeIdle();
+    ++Busy;
+    Connection->start(
+        std::move(What), Timeout, std::move(OnChunk),
+        [Self = shared_from_this(), Connection, Done = std::move(Done)](
+            Response Answer, std::exception_ptr Failure, bool Keep) {
+          --Self->Busy;
+          if (Keep)
+            Self->putIdle(Connection);
+          Done(std::move(Answer), std::move(Failure));
+        });
+  }
+
+  std::size_t busy() const { return Busy; }
+
+private:
+  std::shared_ptr<ClientConnection> takeIdle() {
+    auto Oldest = std::chrono::steady_clock::now() - Config.MaxIdle;
+    while (!Idle.empty()) {
+      auto Connection = std::move(Idle.back());
+      Idle.pop_back();
+      if (Connection->IdleSince >= Oldest && Connection->reusable())
+        return Connection;
+    }
+
+    return std::make_shared<ClientConnection>(Io, Config);
+  }
+
+  void putIdle(std::shared_ptr<ClientConnection> Connection) {
+    Connection->IdleSince = std::chrono::steady_clock::now();
+    Idle.push_back(std::move(Connection));
+  }
+
+  asio::io_context &Io;
+  Options Config;
+  std::deque<std::shared_ptr<ClientConnection>> Idle;
+  std::size_t Busy = 0;
+};
+
+Client::Client(asio::io_context &Io, Options Config)
+    : State(std::make_shared<Impl>(Io, std::move(Config))) {}
+
+Client::~Client() = default;
+
+void Client::send(Request What, Millis Timeout, Callback Done) {
+  State->start(std::move(What), Timeout, {}, std::move(Done));
+}
+
+void Client::stream(Request What, Millis Timeout, ChunkCallback OnChunk,
+                    Callback Done) {
+  State->start(std::move(What), Timeout, std::move(OnChunk), std::move(Done));
+}
+
+std::size_t Client::busyConnections() const { return State->busy(); }
+
+Response exchangeBlocking(const Endpoint &Server, Request What,
+                          Millis Timeout) {
+  asio::io_context Io(1);
+  Client Once(Io, {Server});
+  Response Result;
+  std::exception_ptr Problem;
+  Once.send(std::move(What), Timeout,
+            [&](Response Answer, std::exception_ptr Failure) {
+              Result = std::move(Answer);
+              Problem = std::move(Failure);
+            });
+  Io.run();
+
+  if (Problem)
+    std::rethrow_exception(Problem);
+  return Result;
+}
+
+} // namespace daisyspool::http
--- /dev/null
+++ b/src/http/Connection.cpp
@@ -0,0 +1,294 @@
+#include "http/Connection.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+
+#include <cassert>
+
+namespace daisyspool::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The handler's view of a connection. Dropping it unanswered closes the
+/// connection.
+class ConnectionExchange final : public Exchange {
+public:
+  explicit ConnectionExchange(std::shared_ptr<Connection> Which)
+      : Which(std::move(Which)) {}
+
+  ~ConnectionExchange() override {
+    if (!Answered)
+      Which->abandon();
+  }
+
+  void respond(Response Answer) override {
+    assert(!Answered);
+    Answered = true;
+    Which->respond(std::move(Answer));
+  }
+
+  void beginStream(Response Head) override {
+    assert(!Answered);
+    Which->beginStream(std::move(Head));
+  }
+
+  bool writeChunk(std::string Bytes) override {
+    return Which->writeChunk(std::move(Bytes));
+  }
+
+  void endStream() override {
+    Answered = true;
+    Which->endStream();
+  }
+
+  void onCallerLeft(std::function<void()> Callback) override {
+    Which->onCallerLeft(std::move(Callback));
+  }
+
+private:
+  std::shared_ptr<Connection> Which;
+  bool Answered = false;
+};
+
+} // namespace
+
+Connection::Connection(asio::ip::tcp::socket Socket,
+                       std::shared_ptr<ConnectionOwner> Owner)
+    : Stream(std::move(Socket)), Owner(std::move(Owner)) {}
+
+void Connection::readNext() {
+  Parser.emplace();
+  Parser->header_limit(
+      static_cast<std::uint32_t>(Owner->options().MaxHeaderBytes));
+  Parser->body_limit(Owner->options().MaxBodyBytes);
+  Stream.expires_after(Owner->options().IdleTimeout);
+
+  // The idle timeout ends with the first byte; from then on the request has
+  // the transfer timeout, so that a slow sender cannot hold the connection.
+  beast::http::async_read_some(
+      Stream, Buffer, *Parser,
+      [Self = shared_from_this()](boost::system::error_code Failure,
+                                  std::size_t) {
+        if (Failure || Self->Parser->is_done()) {
+          Self->onRead(Failure);
+          return;
+        }
+        Self->Stream.expires_after(Self->Owner->options().TransferTimeout);
+        beast::http::async_read(Self->Stream, Self->Buffer, *Self->Parser,
+                                [Self](boost::system::error_code Late,
+                                       std::size_t) { Self->onRead(Late); });
+      });
+}
+
+void Connection::onRead(boost::system::error_code Failure) {
+  namespace http_error = beast::http;
+  if (Failure == http_error::error::end_of_stream ||
+      Failure == asio::error::operation_aborted ||
+      Failure == asio::error::connection_reset)
+    return close();
+  if (Failure == beast::error::timeout) {
+    if (Parser->got_some())
+      Owner->badInput(Server::BadInput::TooSlow);
+    return close();
+  }
+  if (Failure == http_error::error::body_limit ||
+      Failure == http_error::error::header_limit)
+    return refuse(Server::BadInput::TooLarge, 413);
+  if (Failure)
+    return refuse(Server::BadInput::Malformed, 400);
+
+  Busy = true;
+  ++ExchangeNumber;
+  Stream.expires_never();
+  const auto &Message = Parser->get();
+  RequestKeepAlive = Message.keep_alive();
+  HttpVersion = Message.version();
+  Request Received{toText(Message.method_string()),
+                   toText(Message.target()),
+                   toHeaders(Message),
+                   {}};
+  Received.Body = std::move(Parser->get().body());
+  watchCaller();
+  Owner->handle(std::move(Received),
+                std::make_shared<ConnectionExchange>(shared_from_this()));
+}
+
+void Connection::refuse(Server::BadInput What, int Status) {
+  Owner->badInput(What);
+  Busy = true;
+  RequestKeepAlive = false;
+  const char *Type = Status == 413 ? "too-large" : "malformed-request";
+  respond(toResponse(
+      {Status, Type, "The request could not be read", Execution::NotRun}));
+}
+
+/// Becomes readable when the caller closes its end while it waits.
+void Connection::watchCaller() {
+  Stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [Self = shared_from_this(),
+       Number = ExchangeNumber](boost::system::error_code Failure) {
+        Self->onCallerReadable(Failure, Number);
+      });
+}
+
+void Connection::onCallerReadable(boost::system::error_code Failure,
+                                  std::uint64_t Exchange) {
+  if (Failure || !Busy || Exchange != ExchangeNumber)
+    return;
+
+  char Byte = 0;
+  boost::system::error_code Reading;
+  Stream.socket().non_blocking(true, Reading);
+  std::size_t Read = Stream.socket().receive(
+      asio::buffer(&Byte, 1), asio::socket_base::message_peek, Reading);
+  if (Read > 0 || Reading == asio::error::would_block)
+    return;
+
+  auto Callback = std::move(CallerLeft);
+  CallerLeft = nullptr;
+  if (Callback)
+    Callback();
+}
+
+void Connection::respond(Response Reply) {
+  if (Closed)
+    return;
+
+  Answer.emplace();
+  Answer->version(HttpVersion);
+  Answer->result(static_cast<unsigned>(Reply.Status));
+  setHeaders(*Answer, Reply.Headers);
+  Answer->body() = std::move(Reply.Body);
+  Answer->keep_alive(RequestKeepAlive && !Owner->draining());
+  Answer->prepare_payload();
+  write(Answer->keep_alive());
+}
+
+void Connection::write(bool KeepAlive) {
+  Stream.expires_after(Owner->options().TransferTimeout);
+  beast::http::async_write(Stream, *Answer,
+                           [Self = shared_from_this(), KeepAlive](
+                               boost::system::error_code Failure, std::size_t) {
+                             Self->finishAnswer(KeepAlive && !Failure);
+                           });
+}
+
+void Connection::beginStream(Response Head) {
+  if (Closed)
+    return;
+
+  Streaming = true;
+  Writing = true;
+  StreamHead.emplace();
+  StreamHead->version(11);
+  StreamHead->result(static_cast<unsigned>(Head.Status));
+  setHeaders(*StreamHead, Head.Headers);
+  StreamHead->chunked(true);
+  StreamHead->keep_alive(false);
+  HeadSerializer.emplace(*StreamHead);
+  beast::http::async_write_header(
+      Stream, *HeadSerializer,
+      [Self = shared_from_this()](boost::system::error_code Failure,
+                                  std::size_t) {
+        Self->Writing = false;
+        if (Failure)
+          return Self->close();
+        Self->writeNextChunk();
+      });
+}
+
+bool Connection::writeChunk(std::string Bytes) {
+  assert(Streaming);
+  if (Closed || StreamEnded ||
+      QueuedBytes + Bytes.size() > Owner->options().StreamBufferBytes)
+    return false;
+  if (Bytes.empty())
+    return true;
+
+  QueuedBytes += Bytes.size();
+  Chunks.push_back(std::move(Bytes));
+  writeNextChunk();
+  return true;
+}
+
+void Connection::writeNextChunk() {
+  if (Writing || Closed)
+    return;
+  if (Chunks.empty() && !StreamEnded)
+    return;
+
+  Writing = true;
+  Stream.expires_after(Owner->options().TransferTimeout);
+  auto Self = shared_from_this();
+  if (Chunks.empty()) {
+    asio::async_write(Stream, beast::http::make_chunk_last(),
+                      [Self](boost::system::error_code, std::size_t) {
+                        Self->finishAnswer(false);
+                      });
+    return;
+  }
+
+  asio::async_write(Stream,
+                    beast::http::make_chunk(asio::buffer(Chunks.front())),
+                    [Self](boost::system::error_code Failure, std::size_t) {
+                      Self->Writing = false;
+                      if (Failure)
+                        return Self->close();
+                      Self->QueuedBytes -= Self->Chunks.front().size();
+                      Self->Chunks.pop_front();
+                      Self->Stream.expires_never();
+                      Self->writeNextChunk();
+                    });
+}
+
+void Connection::endStream() {
+  StreamEnded = true;
+  writeNextChunk();
+}
+
+void Connection::onCallerLeft(std::function<void()> Callback) {
+  CallerLeft = std::move(Callback);
+}
+
+void Connection::abandon() {
+  if (Busy)
+    close();
+}
+
+void Connection::finishAnswer(bool KeepAlive) {
+  Busy = false;
+  CallerLeft = nullptr;
+  if (!KeepAlive)
+    return close();
+
+  boost::system::error_code Ignored;
+  Stream.socket().cancel(Ignored);
+  readNext();
+}
+
+void Connection::closeIfIdle() {
+  if (!Busy && !(Parser && Parser->got_some()))
+    close();
+}
+
+void Connection::close() {
+  if (Closed)
+    return;
+
+  Closed = true;
+  Busy = false;
+  auto Left = std::move(CallerLeft);
+  CallerLeft = nullptr;
+  if (Left)
+    Left();
+
+  boost::system::error_code Ignored;
+  Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+  Stream.close();
+  Owner->closed(shared_from_this());
+}
+
+} // namespace daisyspool::http
--- /dev/null
+++ b/src/http/Connection.h
@@ -0,0 +1,87 @@
+// One accepted connection: reads a request, hands it over, writes the answer,
+// and starts again while the connection is kept alive.
+#ifndef DAISYSPOOL_SRC_HTTP_CONNECTION_H
+#define DAISYSPOOL_SRC_HTTP_CONNECTION_H
+
+#include "daisyspool/http/Server.h"
+#include "http/Convert.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+namespace daisyspool::http {
+
+class Connection;
+
+/// What a connection needs from its server.
+class ConnectionOwner {
+public:
+  ConnectionOwner() = default;
+  ConnectionOwner(const ConnectionOwner &) = delete;
+  ConnectionOwner &operator=(const ConnectionOwner &) = delete;
+  virtual ~ConnectionOwner() = default;
+
+  virtual const Server::Options &options() const = 0;
+  virtual bool draining() const = 0;
+  virtual void handle(Request Received, std::shared_ptr<Exchange> Answer) = 0;
+  virtual void badInput(Server::BadInput What) = 0;
+  virtual void closed(const std::shared_ptr<Connection> &Which) = 0;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+  Connection(boost::asio::ip::tcp::socket Socket,
+             std::shared_ptr<ConnectionOwner> Owner);
+
+  void readNext();
+  void closeIfIdle();
+  bool busy() const { return Busy; }
+
+  void respond(Response Answer);
+  void beginStream(Response Head);
+  bool writeChunk(std::string Bytes);
+  void endStream();
+  void onCallerLeft(std::function<void()> Callback);
+  void abandon();
+
+private:
+  void onRead(boost::system::error_code Failure);
+  void refuse(Server::BadInput What, int Status);
+  void watchCaller();
+  void onCallerReadable(boost::system::error_code Failure,
+                        std::uint64_t Exchange);
+  void write(bool KeepAlive);
+  void writeNextChunk();
+  void finishAnswer(bool KeepAlive);
+  void close();
+
+  beast::tcp_stream Stream;
+  std::shared_ptr<ConnectionOwner> Owner;
+  beast::flat_buffer Buffer;
+  std::optional<beast::http::request_parser<beast::http::string_body>> Parser;
+  std::optional<BeastResponse> Answer;
+  std::optional<beast::http::response<beast::http::empty_body>> StreamHead;
+  std::optional<beast::http::response_serializer<beast::http::empty_body>>
+      HeadSerializer;
+  std::deque<std::string> Chunks;
+  std::size_t QueuedBytes = 0;
+  std::function<void()> CallerLeft;
+  /// Distinguishes this exchange from a later one on the same connection, so
+  /// that a late notification is not taken for the current one.
+  std::uint64_t ExchangeNumber = 0;
+  unsigned HttpVersion = 11;
+  bool Busy = false;
+  bool RequestKeepAlive = false;
+  bool Streaming = false;
+  bool Writing = false;
+  bool StreamEnded = false;
+  bool Closed = false;
+};
+
+} // namespace daisyspool::http
+
+#endif // DAISYSPOOL_SRC_HTTP_CONNECTION_H
--- /dev/null
+++ b/src/http/Convert.h
@@ -0,0 +1,36 @@
+// Conversions between this module's types and Boost.Beast's.
+#ifndef DAISYSPOOL_SRC_HTTP_CONVERT_H
+#define DAISYSPOOL_SRC_HTTP_CONVERT_H
+
+#include "daisyspool/http/Types.h"
+
+#include <boost/beast/http.hpp>
+
+namespace daisyspool::http {
+
+namespace beast = boost::beast;
+
+using BeastRequest = beast::http::request<beast::http::string_body>;
+using BeastResponse = beast::http::response<beast::http::string_body>;
+
+inline std::string toText(beast::string_view View) {
+  return {View.data(), View.size()};
+}
+
+template <typename Fields> std::vector<Header> toHeaders(const Fields &From) {
+  std::vector<Header> Result;
+  for (const auto &Field : From)
+    Result.push_back({toText(Field.name_string()), toText(Field.value())});
+
+  return Result;
+}
+
+template <typename Message>
+void setHeaders(Message &To, const std::vector<Header> &From) {
+  for (const Header &Field : From)
+    To.insert(Field.Name, Field.Value);
+}
+
+} // namespace daisyspool::http
+
+#endif // DAISYSPOOL_SRC_HTTP_CONVERT_H
--- /dev/null
+++ b/src/http/Server.cpp
@@ -0,0 +1,161 @@
+#include "daisyspool/http/Server.h"
+
+#include "http/Connection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace daisyspool::http {
+
+namespace asio = boost::asio;
+
+class Server::Impl : public ConnectionOwner,
+                     public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Io, Options Config, Handler OnRequest,
+       BadInputHandler OnBadInput)
+      : Acceptor(Io), AcceptRetry(Io), Config(std::move(Config)),
+        OnRequest(std::move(OnRequest)), OnBadInput(std::move(OnBadInput)) {
+    asio::ip::tcp::endpoint Where(
+        asio::ip::make_address(this->Config.Listen.Address),
+        this->Config.Listen.Port);
+    Acceptor.open(Where.protocol());
+    Acceptor.set_option(asio::socket_base::reuse_address(true));
+    Acceptor.bind(Where);
+    Acceptor.listen();
+  }
+
+  void accept() {
+    Acceptor.async_accept(
+        [Self = shared_from_this()](boost::system::error_code Failure,
+                                    asio::ip::tcp::socket Socket) {
+          if (Self->Draining)
+            return;
+          if (Failure) {
+            Self->retryAccept();
+            return;
+          }
+          Self->adopt(std::move(Socket));
+          Self->accept();
+        });
+  }
+
+  void drain(std::function<void()> Done) {
+    Draining = true;
+    OnDrained = std::move(Done);
+    boost::system::error_code Ignored;
+    Acceptor.close(Ignored);
+
+    // A request may already be on its way on a connection that looks idle.
+    AcceptRetry.expires_after(DrainLinger);
+    AcceptRetry.async_wait(
+        [Self = shared_from_this()](boost::system::error_code Failure) {
+          if (!Failure)
+            Self->closeIdle();
+        });
+  }
+
+  const Options &options() const override { return Config; }
+  bool draining() const override { return Draining; }
+
+  void handle(Request Received, std::shared_ptr<Exchange> Answer) override {
+    OnRequest(std::move(Received), std::move(Answer));
+  }
+
+  void badInput(BadInput What) override {
+    if (OnBadInput)
+      OnBadInput(What);
+  }
+
+  void closed(const std::shared_ptr<Connection> &Which) override {
+    Connections.erase(Which);
+    finishDrain();
+  }
+
+  asio::ip::tcp::endpoint bound() const { return Acceptor.local_endpoint(); }
+
+  std::size_t inFlight() const {
+    return static_cast<std::size_t>(
+        std::count_if(Connections.begin(), Connections.end(),
+                      [](const auto &Each) { return Each->busy(); }));
+  }
+
+private:
+  static constexpr Millis DrainLinger{250};
+
+  void closeIdle() {
+    auto Open = Connections;
+    for (const auto &Each : Open)
+      Each->closeIfIdle();
+
+    finishDrain();
+  }
+
+  /// The process may be out of file descriptors; a loop without a pause would
+  /// use a whole core until one is free.
+  void retryAccept() {
+    AcceptRetry.expires_after(Millis(20));
+    AcceptRetry.async_wait(
+        [Self = shared_from_this()](boost::system::error_code Failure) {
+          if (!Failure && !Self->Draining)
+            Self->accept();
+        });
+  }
+
+  void adopt(asio::ip::tcp::socket Socket) {
+    if (Connections.size() >= Config.MaxConnections) {
+      badInput(BadInput::TooManyConnections);
+      return;
+    }
+
+    boost::system::error_code Ignored;
+    Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+    auto Created =
+        std::make_shared<Connection>(std::move(Socket), shared_from_this());
+    Connections.insert(Created);
+    Created->readNext();
+  }
+
+  void finishDrain() {
+    if (!Draining || !Connections.empty() || !OnDrained)
+      return;
+
+    auto Done = std::move(OnDrained);
+    OnDrained = nullptr;
+    Done();
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  asio::steady_timer AcceptRetry;
+  Options Config;
+  Handler OnRequest;
+  BadInputHandler OnBadInput;
+  std::set<std::shared_ptr<Connection>> Connections;
+  std::function<void()> OnDrained;
+  bool Draining = false;
+};
+
+Server::Server(asio::io_context &Io, Options Config, Handler OnRequest,
+               BadInputHandler OnBadInput)
+    : State(std::make_shared<Impl>(Io, std::move(Config), std::move(OnRequest),
+                                   std::move(OnBadInput))) {
+  State->accept();
+}
+
+Server::~Server() = default;
+
+Endpoint Server::endpoint() const {
+  auto Bound = State->bound();
+  return {Bound.address().to_string(), Bound.port()};
+}
+
+void Server::drain(std::function<void()> Done) {
+  State->drain(std::move(Done));
+}
+
+std::size_t Server::inFlight() const { return State->inFlight(); }
+
+} // namespace daisyspool::http
--- /dev/null
+++ b/src/http/Types.cpp
@@ -0,0 +1,62 @@
+#include "daisyspool/http/Types.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace daisyspool::http {
+
+std::optional<Endpoint> parseEndpoint(std::string_view Text) {
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return std::nullopt;
+
+  std::string_view PortText = Text.substr(Colon + 1);
+  std::uint16_t Port = 0;
+  auto [End, Failure] =
+      std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
+  if (Failure != std::errc{} || End != PortText.data() + PortText.size() ||
+      Port == 0)
+    return std::nullopt;
+
+  std::string Address(Text.substr(0, Colon));
+  boost::system::error_code Invalid;
+  boost::asio::ip::make_address(Address, Invalid);
+  if (Invalid)
+    return std::nullopt;
+
+  return Endpoint{std::move(Address), Port};
+}
+
+std::string toString(const Endpoint &Where) {
+  return Where.Address + ":" + std::to_string(Where.Port);
+}
+
+std::optional<std::string> findHeader(const std::vector<Header> &Headers,
+                                      std::string_view Name) {
+  for (const Header &Candidate : Headers)
+    if (boost::beast::iequals({Candidate.Name.data(), Candidate.Name.size()},
+                              {Name.data(), Name.size()}))
+      return Candidate.Value;
+
+  return std::nullopt;
+}
+
+Response toResponse(const Problem &What) {
+  nlohmann::json Document{{"type", "urn:daisyspool:problem:" + What.Type},
+                          {"title", What.Type},
+                          {"status", What.Status},
+                          {"detail", What.Detail}};
+  if (What.Executed)
+    Document["execution"] = toString(*What.Executed);
+
+  // Text from a caller may hold invalid UTF-8, which must not throw here.
+  return Response{
+      What.Status,
+      {{"Content-Type", "application/problem+json"}},
+      Document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+} // namespace daisyspool::http
