Add messages, links, settings, telemetry and the agent's front

Cause: the path from caller to target needs its process-to-process parts.

Change: wire messages and codec, nng links with heartbeats, INI settings, logs, metrics and spans, CAF-supervised duties, and the agent's target front.

--- /dev/null
+++ b/include/daisyspool/agent/Announcer.h
@@ -0,0 +1,42 @@
+#ifndef DAISYSPOOL_AGENT_ANNOUNCER_H
+#define DAISYSPOOL_AGENT_ANNOUNCER_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/core/Random.h"
+#include "daisyspool/http/Client.h"
+#include "daisyspool/wire/Announcement.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace daisyspool {
+
+/// Announces the target to any one entry through the balancer, again and
+/// again, each time on a new connection so that another entry may hear it.
+///
+/// Thread safety: call from the I/O thread only.
+class Announcer {
+public:
+  Announcer(boost::asio::io_context &Io, http::Endpoint Balancer,
+            wire::Announcement What, Millis Interval);
+  Announcer(const Announcer &) = delete;
+  Announcer &operator=(const Announcer &) = delete;
+
+  /// Announces at once that the target is leaving, and from then on.
+  void leave();
+
+private:
+  void announce();
+  void schedule();
+
+  boost::asio::io_context &Io;
+  http::Endpoint Balancer;
+  wire::Announcement What;
+  Millis Interval;
+  boost::asio::steady_timer Timer;
+  Random Jitter;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_AGENT_ANNOUNCER_H
--- /dev/null
+++ b/include/daisyspool/agent/TargetFront.h
@@ -0,0 +1,96 @@
+#ifndef DAISYSPOOL_AGENT_TARGETFRONT_H
+#define DAISYSPOOL_AGENT_TARGETFRONT_H
+
+#include "daisyspool/agent/AttemptLog.h"
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/http/Client.h"
+#include "daisyspool/wire/Messages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace daisyspool {
+
+/// Passes requests to the target within its slots and connections.
+///
+/// A short request takes a slot and a connection, a session or feed only a
+/// connection. Requests over the slots wait in a short queue while their
+/// deadline allows; all others are refused unrun at once. Non-idempotent
+/// attempts run at most once, kept by AttemptLog.
+///
+/// Thread safety: call from the I/O thread only.
+class TargetFront {
+public:
+  struct Options {
+    ServiceId Service;
+    http::Endpoint Target;
+    std::size_t Slots = 8;
+    std::size_t Connections = 64;
+    std::size_t QueueLimit = 16;
+    /// A stream without a frame for this long counts as silent.
+    Millis StreamSilence{15000};
+  };
+
+  /// Sends one reply to where the attempt came from.
+  using Reply = std::function<void(const wire::ServeReply &)>;
+
+  TargetFront(boost::asio::io_context &Io, const Clock &Time, Options Config);
+  TargetFront(const TargetFront &) = delete;
+  TargetFront &operator=(const TargetFront &) = delete;
+
+  /// Runs, queues or refuses \p What; \p Answer is called for each frame.
+  void serve(AttemptKey Key, wire::ServeRequest What, Reply Answer);
+
+  /// Drops a queued attempt, or abandons the answer of a running one.
+  void cancel(const AttemptKey &Key);
+
+  /// Answers what became of an attempt, now or when it ends.
+  void query(const AttemptKey &Key, Reply Answer);
+
+  /// Refuses new work from now on; calls \p Done when nothing is in progress
+  /// or after \p Bound, ending open streams at a frame border.
+  void drain(Millis Bound, std::function<void()> Done);
+
+  wire::TargetLoad load() const;
+
+private:
+  struct Attempt;
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  wire::RefusalReason admit(const wire::ServeRequest &What) const;
+  void refuse(const wire::ServeRequest &What, wire::RefusalReason Reason,
+              const Reply &Answer) const;
+  void start(const AttemptPtr &Which);
+  void startStream(const AttemptPtr &Which, http::Request Outgoing);
+  http::Request toTargetRequest(const wire::ServeRequest &What) const;
+  void finish(const AttemptPtr &Which, wire::ServeReply Answer);
+  void fail(const AttemptPtr &Which, const std::exception_ptr &Failure);
+  void startQueued();
+  void expireQueued();
+  void scheduleExpiry();
+  void finishDrain();
+
+  boost::asio::io_context &Io;
+  const Clock &Time;
+  Options Config;
+  http::Client Target;
+  AttemptLog Log;
+  boost::asio::steady_timer Expiry;
+  boost::asio::steady_timer DrainTimer;
+  std::map<AttemptKey, AttemptPtr> Open;
+  std::deque<AttemptPtr> Queue;
+  std::function<void()> OnDrained;
+  std::size_t BusySlots = 0;
+  std::size_t Streams = 0;
+  bool Draining = false;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_AGENT_TARGETFRONT_H
--- /dev/null
+++ b/include/daisyspool/settings/AgentSettings.h
@@ -0,0 +1,47 @@
+#ifndef DAISYSPOOL_SETTINGS_AGENTSETTINGS_H
+#define DAISYSPOOL_SETTINGS_AGENTSETTINGS_H
+
+#include "daisyspool/settings/IniFile.h"
+
+#include "daisyspool/core/Ids.h"
+#include "daisyspool/core/Units.h"
+
+#include <cstddef>
+#include <string>
+
+namespace daisyspool {
+
+/// What an agent process is told at its start. There is no list of entries:
+/// the balancer's address reaches any one of them.
+///
+/// Filled by parseAgentSettings(); see docs/settings.md for each key.
+struct AgentSettings {
+  ProcessId Process;
+  VmId Vm;
+  RackId Rack;
+  FailureDomainId FailureDomain;
+  http::Endpoint Balancer;
+  /// Where entries reach this agent.
+  http::Endpoint Links;
+  http::Endpoint Gossip;
+  http::Endpoint Metrics;
+  ServiceId Service;
+  http::Endpoint Target;
+  http::Endpoint Worker;
+  Resources Capacity;
+  std::size_t Slots = 8;
+  std::size_t Connections = 64;
+  Millis AnnounceInterval{1000};
+  Millis DrainBound{30000};
+  std::string TraceFile;
+  std::string LogLevel = "info";
+};
+
+/// Parses and checks the settings of an agent.
+///
+/// Thread safety: safe from any thread. Errors: throws SettingsError.
+AgentSettings parseAgentSettings(IniFile File);
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_SETTINGS_AGENTSETTINGS_H
--- /dev/null
+++ b/include/daisyspool/settings/settings.h
@@ -0,0 +1,15 @@
+// The settings module: INI files with line numbers, and the checked settings
+// of each process. It reads files and has no threads.
+//
+//   IniFile.h   sections and keys with their lines; typed reading of values
+//   EntrySettings.h, AgentSettings.h  what each process is told at its start
+//
+// See IniFile.h next.
+#ifndef DAISYSPOOL_SETTINGS_SETTINGS_H
+#define DAISYSPOOL_SETTINGS_SETTINGS_H
+
+#include "daisyspool/settings/AgentSettings.h"
+#include "daisyspool/settings/EntrySettings.h"
+#include "daisyspool/settings/IniFile.h"
+
+#endif // DAISYSPOOL_SETTINGS_SETTINGS_H
--- a/include/daisyspool/wire/Adaptors.h
+++ b/include/daisyspool/wire/Adaptors.h
@@ -8,6 +8,19 @@
 #include <msgpack.hpp>
 
 #include <string>
+#include <type_traits>
+
+namespace daisyspool::wire {
+
+/// The highest valid value of an enumeration that travels in messages, or -1
+/// for an enumeration that does not. A received value above it is an error.
+template <typename Enum> inline constexpr int LastEnumerator = -1;
+
+template <typename Enum>
+concept WireEnum = std::is_enum_v<Enum> && LastEnumerator<Enum>
+>= 0;
+
+} // namespace daisyspool::wire
 
 /// Lets MSGPACK_DEFINE_ARRAY carry the project's strong types: an id as a
 /// string, a number and a quantity as an integer, a duration as nanoseconds.
@@ -66,6 +79,25 @@
     }
   };
 
+  template <daisyspool::wire::WireEnum Enum> struct convert<Enum> {
+    const msgpack::object &operator()(const msgpack::object &From,
+                                      Enum &To) const {
+      int Value = From.as<int>();
+      if (Value < 0 || Value > daisyspool::wire::LastEnumerator<Enum>)
+        throw msgpack::type_error();
+      To = static_cast<Enum>(Value);
+      return From;
+    }
+  };
+
+  template <daisyspool::wire::WireEnum Enum> struct pack<Enum> {
+    template <typename Stream>
+    msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &To,
+                                        Enum From) const {
+      return To.pack(static_cast<int>(From));
+    }
+  };
+
   template <> struct convert<daisyspool::Resources> {
     const msgpack::object &operator()(const msgpack::object &From,
                                       daisyspool::Resources &To) const {
--- /dev/null
+++ b/include/daisyspool/wire/Messages.h
@@ -0,0 +1,273 @@
+#ifndef DAISYSPOOL_WIRE_MESSAGES_H
+#define DAISYSPOOL_WIRE_MESSAGES_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/core/Errors.h"
+#include "daisyspool/core/Ids.h"
+#include "daisyspool/core/Units.h"
+#include "daisyspool/core/WorkClass.h"
+#include "daisyspool/wire/Adaptors.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::WorkClass> =
+    static_cast<int>(daisyspool::WorkClass::Batch);
+
+namespace daisyspool::wire {
+
+/// Distinguishes one dispatch from every other of the same sender process.
+using AttemptId = StrongNumber<struct AttemptIdTag>;
+
+/// The parts of W3C trace context that travel between processes.
+struct TraceContext {
+  std::string TraceId;
+  std::string ParentSpanId;
+  bool Sampled = false;
+  MSGPACK_DEFINE_ARRAY(TraceId, ParentSpanId, Sampled)
+};
+
+/// Sent on an idle or busy link to prove that this very connection works.
+struct Heartbeat {
+  std::uint64_t Sequence = 0;
+  MSGPACK_DEFINE_ARRAY(Sequence)
+};
+
+struct HeartbeatReply {
+  std::uint64_t Sequence = 0;
+  MSGPACK_DEFINE_ARRAY(Sequence)
+};
+
+/// One request for one execution by the receiver's target.
+struct ServeRequest {
+  AttemptId Attempt;
+  /// The agent incarnation that the sender means; zero means any. Another one
+  /// refuses, as it cannot vouch for what an earlier one ran.
+  Incarnation Receiver;
+  RequestId Request;
+  ServiceId Service;
+  TeamId Team;
+  CallerId Caller;
+  WorkClass Class = WorkClass::Standard;
+  bool Idempotent = false;
+  /// A streamed answer arrives as several replies.
+  bool Streamed = false;
+  /// Time left to answer, as clocks are not shared.
+  Duration Remaining{};
+  TraceContext Trace;
+  std::string Method;
+  std::string Path;
+  std::string Body;
+  MSGPACK_DEFINE_ARRAY(Attempt, Receiver, Request, Service, Team, Caller, Class,
+                       Idempotent, Streamed, Remaining, Trace, Method, Path,
+                       Body)
+};
+
+/// How full a target is; carried on every reply, so its cost follows traffic.
+struct TargetLoad {
+  std::uint32_t BusySlots = 0;
+  std::uint32_t Queued = 0;
+  std::uint32_t Connections = 0;
+  bool Draining = false;
+  MSGPACK_DEFINE_ARRAY(BusySlots, Queued, Connections, Draining)
+};
+
+enum class ServeOutcome {
+  /// The target answered; Status and Body are its answer.
+  Served,
+  /// Refused before execution; it was not run and never will be.
+  Refused,
+  /// The target may have run it; no answer is known.
+  Failed
+};
+
+template <>
+inline constexpr int
+    LastEnumerator<ServeOutcome> = static_cast<int>(ServeOutcome::Failed);
+
+enum class RefusalReason {
+  None,
+  NoFreeSlot,
+  DeadlineTooClose,
+  Draining,
+  UnknownService,
+  Duplicate,
+  Overloaded,
+  TargetUnreachable,
+  WrongIncarnation
+};
+
+template <>
+inline constexpr int LastEnumerator<RefusalReason> =
+    static_cast<int>(RefusalReason::WrongIncarnation);
+
+/// The answer to a ServeRequest, or one frame of it.
+struct ServeReply {
+  AttemptId Attempt;
+  ServeOutcome Outcome = ServeOutcome::Failed;
+  RefusalReason Reason = RefusalReason::None;
+  int Status = 0;
+  std::string ContentType;
+  std::string Body;
+  /// Frames of one answer count from zero, so that a missing one is noticed.
+  std::uint32_t Frame = 0;
+  bool Last = true;
+  TargetLoad Load;
+  MSGPACK_DEFINE_ARRAY(Attempt, Outcome, Reason, Status, ContentType, Body,
+                       Frame, Last, Load)
+};
+
+/// The caller left or another attempt won; the answer is no longer wanted.
+struct CancelAttempt {
+  AttemptId Attempt;
+  MSGPACK_DEFINE_ARRAY(Attempt)
+};
+
+/// Asks what became of an attempt whose answer did not arrive. An attempt that
+/// the receiver has not seen is refused now and whenever it arrives later.
+struct AttemptQuery {
+  ProcessId Origin;
+  Incarnation OriginIncarnation;
+  AttemptId Attempt;
+  Incarnation Receiver;
+
+  MSGPACK_DEFINE_ARRAY(Origin, OriginIncarnation, Attempt, Receiver)
+};
+
+/// Starts one attempt of a task on the receiver's VM.
+struct StartTask {
+  TaskId Task;
+  AttemptNumber Attempt;
+  ShardId Shard;
+  Epoch Owner;
+  Resources Size;
+  WorkClass Class = WorkClass::Batch;
+  std::string Command;
+  CheckpointId ResumeFrom;
+  Duration Lease{};
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Shard, Owner, Size, Class, Command,
+                       ResumeFrom, Lease)
+};
+
+struct StartTaskReply {
+  TaskId Task;
+  AttemptNumber Attempt;
+  bool Accepted = false;
+  std::string Detail;
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Accepted, Detail)
+};
+
+/// What an agent knows of one task that it holds.
+struct HeldTask {
+  TaskId Task;
+  AttemptNumber Attempt;
+  double Progress = 0;
+  Resources Used;
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Progress, Used)
+};
+
+/// Asks the owner of a shard to renew the leases of the tasks held for it.
+struct RenewLeases {
+  std::uint64_t Sequence = 0;
+  ShardId Shard;
+  std::vector<HeldTask> Held;
+  MSGPACK_DEFINE_ARRAY(Sequence, Shard, Held)
+};
+
+enum class LeaseOrder { Keep, Stop, Checkpoint, Throttle };
+
+template <>
+inline constexpr int
+    LastEnumerator<LeaseOrder> = static_cast<int>(LeaseOrder::Throttle);
+
+struct LeaseDecision {
+  TaskId Task;
+  AttemptNumber Attempt;
+  LeaseOrder Order = LeaseOrder::Keep;
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Order)
+};
+
+struct RenewLeasesReply {
+  std::uint64_t Sequence = 0;
+  ShardId Shard;
+  Epoch Owner;
+  std::vector<LeaseDecision> Decisions;
+  MSGPACK_DEFINE_ARRAY(Sequence, Shard, Owner, Decisions)
+};
+
+struct StopTask {
+  TaskId Task;
+  AttemptNumber Attempt;
+  Epoch Owner;
+  bool CheckpointFirst = false;
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Owner, CheckpointFirst)
+};
+
+enum class TaskState {
+  Running,
+  Finished,
+  Failed,
+  Stopped,
+  Checkpointed,
+  Suspended
+};
+
+template <>
+inline constexpr int
+    LastEnumerator<TaskState> = static_cast<int>(TaskState::Suspended);
+
+/// Reports a change of a task's state; repeated until acknowledged.
+struct TaskStatus {
+  TaskId Task;
+  AttemptNumber Attempt;
+  TaskState State = TaskState::Running;
+  int ExitCode = 0;
+  CheckpointId Checkpoint;
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, State, ExitCode, Checkpoint)
+};
+
+struct TaskStatusAck {
+  TaskId Task;
+  AttemptNumber Attempt;
+  MSGPACK_DEFINE_ARRAY(Task, Attempt)
+};
+
+/// A caller's request passed to the entry that owns the shard of its id.
+struct ForwardRequest {
+  AttemptId Attempt;
+  Duration Remaining{};
+  std::string Method;
+  std::string Path;
+  std::vector<std::pair<std::string, std::string>> Headers;
+  std::string Body;
+  MSGPACK_DEFINE_ARRAY(Attempt, Remaining, Method, Path, Headers, Body)
+};
+
+struct ForwardReply {
+  AttemptId Attempt;
+  int Status = 0;
+  std::string ContentType;
+  std::string Body;
+  MSGPACK_DEFINE_ARRAY(Attempt, Status, ContentType, Body)
+};
+
+using Message =
+    std::variant<Heartbeat, HeartbeatReply, ServeRequest, ServeReply,
+                 CancelAttempt, AttemptQuery, StartTask, StartTaskReply,
+                 RenewLeases, RenewLeasesReply, StopTask, TaskStatus,
+                 TaskStatusAck, ForwardRequest, ForwardReply>;
+
+/// A message with the fields that every message carries.
+struct Envelope {
+  ProcessId From;
+  Incarnation Sender;
+  ConfigVersion Config;
+  Message Content;
+};
+
+} // namespace daisyspool::wire
+
+#endif // DAISYSPOOL_WIRE_MESSAGES_H
--- /dev/null
+++ b/src/agent/Announcer.cpp
@@ -0,0 +1,59 @@
+#include "daisyspool/agent/Announcer.h"
+
+#include "daisyspool/core/Hash.h"
+#include "daisyspool/telemetry/Log.h"
+
+#include <memory>
+
+namespace daisyspool {
+
+namespace {
+
+constexpr Millis AnnounceTimeout{1000};
+
+} // namespace
+
+Announcer::Announcer(boost::asio::io_context &Io, http::Endpoint Balancer,
+                     wire::Announcement What, Millis Interval)
+    : Io(Io), Balancer(std::move(Balancer)), What(std::move(What)),
+      Interval(Interval), Timer(Io),
+      Jitter(stableHash(this->What.Agent.str(), this->What.Number.value())) {
+  announce();
+  schedule();
+}
+
+void Announcer::leave() {
+  What.Leaving = true;
+  announce();
+}
+
+void Announcer::announce() {
+  auto Once =
+      std::make_shared<http::Client>(Io, http::Client::Options{Balancer});
+  http::Request Outgoing{
+      "POST",
+      "/v1/announce",
+      {{"Content-Type", "application/json"}, {"Connection", "close"}},
+      wire::toJson(What)};
+  Once->send(std::move(Outgoing), AnnounceTimeout,
+             [Once](http::Response Answer, std::exception_ptr Failure) {
+               if (Failure || Answer.Status != 204)
+                 LogEvent(LogLevel::Warning, "announce_failed")
+                     .with("status", Answer.Status);
+             });
+}
+
+void Announcer::schedule() {
+  // Agents that start together must not announce together for ever.
+  auto Spread = Millis(static_cast<std::int64_t>(
+      Jitter.below(static_cast<std::uint64_t>(Interval.count() / 2 + 1))));
+  Timer.expires_after(Interval - Interval / 4 + Spread);
+  Timer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    announce();
+    schedule();
+  });
+}
+
+} // namespace daisyspool
--- /dev/null
+++ b/src/agent/TargetFront.cpp
@@ -0,0 +1,313 @@
+#include "daisyspool/agent/TargetFront.h"
+
+#include "daisyspool/telemetry/Log.h"
+#include "daisyspool/telemetry/Spans.h"
+
+#include <algorithm>
+#include <cassert>
+#include <vector>
+
+namespace daisyspool {
+
+namespace {
+
+// Longer than a message of a closed connection can stay in the network.
+constexpr std::chrono::minutes AttemptRetention{10};
+constexpr Millis ExpiryInterval{20};
+constexpr Millis OutcomeGrace{60000};
+constexpr Millis LongestRequest{3600000};
+
+Millis toMillis(Duration Length) {
+  auto Rounded = std::chrono::duration_cast<Millis>(Length);
+  return std::clamp(Rounded, Millis(1), LongestRequest);
+}
+
+} // namespace
+
+struct TargetFront::Attempt {
+  AttemptKey Key;
+  wire::ServeRequest What;
+  Reply Answer;
+  TimePoint Deadline;
+  std::uint32_t NextFrame = 0;
+  bool Started = false;
+  bool Cancelled = false;
+  bool EndAtFrame = false;
+};
+
+TargetFront::TargetFront(boost::asio::io_context &Io, const Clock &Time,
+                         Options Config)
+    : Io(Io), Time(Time), Config(std::move(Config)),
+      Target(Io, {this->Config.Target, this->Config.Connections}),
+      Log(AttemptRetention), Expiry(Io), DrainTimer(Io) {
+  scheduleExpiry();
+}
+
+wire::RefusalReason TargetFront::admit(const wire::ServeRequest &What) const {
+  using wire::RefusalReason;
+  if (Draining)
+    return RefusalReason::Draining;
+  if (What.Service != Config.Service)
+    return RefusalReason::UnknownService;
+  if (What.Remaining <= Duration::zero())
+    return RefusalReason::DeadlineTooClose;
+  if (BusySlots + Streams + Queue.size() >= Config.Connections)
+    return RefusalReason::NoFreeSlot;
+  if (!What.Streamed && BusySlots >= Config.Slots &&
+      Queue.size() >= Config.QueueLimit)
+    return RefusalReason::NoFreeSlot;
+
+  return RefusalReason::None;
+}
+
+void TargetFront::refuse(const wire::ServeRequest &What,
+                         wire::RefusalReason Reason,
+                         const Reply &Answer) const {
+  wire::ServeReply Refusal;
+  Refusal.Attempt = What.Attempt;
+  Refusal.Outcome = wire::ServeOutcome::Refused;
+  Refusal.Reason = Reason;
+  Refusal.Load = load();
+  Answer(Refusal);
+}
+
+void TargetFront::serve(AttemptKey Key, wire::ServeRequest What, Reply Answer) {
+  if (Open.contains(Key))
+    return refuse(What, wire::RefusalReason::Duplicate, Answer);
+  if (auto Reason = admit(What); Reason != wire::RefusalReason::None)
+    return refuse(What, Reason, Answer);
+  if (!What.Idempotent && !Log.begin(Key))
+    return refuse(What, wire::RefusalReason::Duplicate, Answer);
+
+  auto Created = std::make_shared<Attempt>();
+  Created->Key = std::move(Key);
+  Created->Deadline = Time.now() + What.Remaining;
+  Created->What = std::move(What);
+  Created->Answer = std::move(Answer);
+  Open.emplace(Created->Key, Created);
+  if (Created->What.Streamed || BusySlots < Config.Slots)
+    return start(Created);
+
+  Queue.push_back(Created);
+}
+
+http::Request
+TargetFront::toTargetRequest(const wire::ServeRequest &What) const {
+  http::Request Outgoing{What.Method, What.Path, {}, What.Body};
+  Outgoing.Headers.push_back({"Daisyspool-Request-Id", What.Request.str()});
+  Outgoing.Headers.push_back(
+      {"Daisyspool-Class", std::string(toString(What.Class))});
+  if (!What.Trace.TraceId.empty())
+    Outgoing.Headers.push_back({"traceparent", toTraceParent(What.Trace)});
+  if (!What.Idempotent)
+    Outgoing.Headers.push_back({"Idempotency-Key", What.Request.str()});
+
+  return Outgoing;
+}
+
+void TargetFront::start(const AttemptPtr &Which) {
+  Which->Started = true;
+  http::Request Outgoing = toTargetRequest(Which->What);
+  if (Which->What.Streamed)
+    return startStream(Which, std::move(Outgoing));
+
+  ++BusySlots;
+  // Closing the connection would not undo a non-idempotent request; waiting
+  // longer learns its outcome for a caller that asks again.
+  Duration Grace =
+      Which->What.Idempotent ? Duration::zero() : Duration(OutcomeGrace);
+  Millis Timeout = toMillis(Which->Deadline - Time.now() + Grace);
+  Target.send(
+      std::move(Outgoing), Timeout,
+      [this, Which](http::Response Result, std::exception_ptr Failure) {
+        --BusySlots;
+        if (Failure)
+          return fail(Which, Failure);
+
+        wire::ServeReply Answer;
+        Answer.Outcome = wire::ServeOutcome::Served;
+        Answer.Status = Result.Status;
+        Answer.ContentType =
+            http::findHeader(Result.Headers, "Content-Type").value_or("");
+        Answer.Body = std::move(Result.Body);
+        finish(Which, std::move(Answer));
+      });
+}
+
+void TargetFront::startStream(const AttemptPtr &Which, http::Request Outgoing) {
+  ++Streams;
+  auto SendFrame = [this, Which](std::string Bytes) {
+    if (Which->Cancelled || Which->EndAtFrame)
+      return false;
+
+    wire::ServeReply Frame;
+    Frame.Attempt = Which->What.Attempt;
+    Frame.Outcome = wire::ServeOutcome::Served;
+    Frame.Status = 200;
+    Frame.Body = std::move(Bytes);
+    Frame.Frame = Which->NextFrame++;
+    Frame.Last = false;
+    Frame.Load = load();
+    Which->Answer(Frame);
+    return true;
+  };
+  Target.stream(std::move(Outgoing), Config.StreamSilence, SendFrame,
+                [this, Which](http::Response Head, std::exception_ptr Failure) {
+                  --Streams;
+                  if (Failure && !Which->EndAtFrame)
+                    return fail(Which, Failure);
+
+                  wire::ServeReply End;
+                  End.Outcome = wire::ServeOutcome::Served;
+                  End.Status = Failure ? 200 : Head.Status;
+                  End.Frame = Which->NextFrame;
+                  finish(Which, std::move(End));
+                });
+}
+
+void TargetFront::fail(const AttemptPtr &Which,
+                       const std::exception_ptr &Failure) {
+  wire::ServeReply Answer;
+  Answer.Outcome = wire::ServeOutcome::Failed;
+  Answer.Reason = wire::RefusalReason::TargetUnreachable;
+  try {
+    std::rethrow_exception(Failure);
+  } catch (const http::ClientError &Problem) {
+    if (Problem.reason() == http::ClientError::Kind::NotSent)
+      Answer.Outcome = wire::ServeOutcome::Refused;
+    LogEvent(LogLevel::Warning, "target_failed")
+        .with("request", Which->What.Request)
+        .with("detail", Problem.what());
+  }
+  Answer.Frame = Which->NextFrame;
+  finish(Which, std::move(Answer));
+}
+
+void TargetFront::finish(const AttemptPtr &Which, wire::ServeReply Answer) {
+  Answer.Attempt = Which->What.Attempt;
+  Answer.Last = true;
+  Open.erase(Which->Key);
+  startQueued();
+  Answer.Load = load();
+  if (!Which->What.Idempotent)
+    Log.finish(Which->Key, Answer, Time.now());
+  if (!Which->Cancelled)
+    Which->Answer(Answer);
+
+  finishDrain();
+}
+
+void TargetFront::startQueued() {
+  while (BusySlots < Config.Slots && !Queue.empty()) {
+    AttemptPtr Next = Queue.front();
+    Queue.pop_front();
+    if (Next->Deadline > Time.now()) {
+      start(Next);
+      continue;
+    }
+
+    wire::ServeReply Late;
+    Late.Outcome = wire::ServeOutcome::Refused;
+    Late.Reason = wire::RefusalReason::DeadlineTooClose;
+    finish(Next, std::move(Late));
+  }
+}
+
+void TargetFront::expireQueued() {
+  std::vector<AttemptPtr> Late;
+  std::erase_if(Queue, [&](const AttemptPtr &Each) {
+    if (Each->Deadline > Time.now())
+      return false;
+    Late.push_back(Each);
+    return true;
+  });
+
+  for (const AttemptPtr &Each : Late) {
+    wire::ServeReply Refusal;
+    Refusal.Outcome = wire::ServeOutcome::Refused;
+    Refusal.Reason = wire::RefusalReason::DeadlineTooClose;
+    finish(Each, std::move(Refusal));
+  }
+  Log.expire(Time.now());
+}
+
+void TargetFront::scheduleExpiry() {
+  Expiry.expires_after(ExpiryInterval);
+  Expiry.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    expireQueued();
+    scheduleExpiry();
+  });
+}
+
+void TargetFront::cancel(const AttemptKey &Key) {
+  auto Found = Open.find(Key);
+  if (Found == Open.end())
+    return;
+
+  AttemptPtr Which = Found->second;
+  Which->Cancelled = true;
+  if (Which->Started)
+    return;
+
+  std::erase(Queue, Which);
+  wire::ServeReply Dropped;
+  Dropped.Outcome = wire::ServeOutcome::Refused;
+  Dropped.Reason = wire::RefusalReason::DeadlineTooClose;
+  finish(Which, std::move(Dropped));
+}
+
+void TargetFront::query(const AttemptKey &Key, Reply Answer) {
+  auto Found = Open.find(Key);
+  if (Found != Open.end()) {
+    // The connection that asked replaces the one that was lost.
+    Found->second->Answer = std::move(Answer);
+    return;
+  }
+
+  wire::ServeReply Result;
+  Result.Attempt = Key.Attempt;
+  Result.Outcome = wire::ServeOutcome::Refused;
+  Result.Reason = wire::RefusalReason::Duplicate;
+  auto State = Log.query(Key, Time.now());
+  if (const auto *Ended = std::get_if<AttemptLog::Finished>(&State))
+    Result = Ended->Answer;
+  Result.Load = load();
+  Answer(Result);
+}
+
+void TargetFront::drain(Millis Bound, std::function<void()> Done) {
+  Draining = true;
+  OnDrained = std::move(Done);
+  DrainTimer.expires_after(Bound);
+  DrainTimer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    for (auto &[Key, Each] : Open)
+      Each->EndAtFrame = true;
+    // Streams that never send another frame must not delay the end.
+    DrainTimer.expires_after(Millis(1000));
+    DrainTimer.async_wait([this](boost::system::error_code Aborted) {
+      if (!Aborted && OnDrained)
+        std::exchange(OnDrained, nullptr)();
+    });
+  });
+  finishDrain();
+}
+
+void TargetFront::finishDrain() {
+  if (Draining && Open.empty() && OnDrained)
+    std::exchange(OnDrained, nullptr)();
+}
+
+wire::TargetLoad TargetFront::load() const {
+  wire::TargetLoad Result;
+  Result.BusySlots = static_cast<std::uint32_t>(BusySlots);
+  Result.Queued = static_cast<std::uint32_t>(Queue.size());
+  Result.Connections = static_cast<std::uint32_t>(BusySlots + Streams);
+  Result.Draining = Draining;
+  return Result;
+}
+
+} // namespace daisyspool
--- /dev/null
+++ b/src/telemetry/Log.cpp
@@ -0,0 +1,159 @@
+#include "daisyspool/telemetry/Log.h"
+
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+
+#include <atomic>
+#include <cassert>
+#include <chrono>
+#include <iostream>
+#include <mutex>
+#include <unordered_map>
+
+namespace daisyspool {
+
+namespace {
+
+constexpr int MaxLinesPerSecond = 20;
+
+struct RateWindow {
+  std::chrono::steady_clock::time_point Start;
+  int Written = 0;
+  int Suppressed = 0;
+};
+
+struct LogState {
+  std::atomic<LogLevel> Least{LogLevel::Warning};
+  std::string Process = "-";
+  std::mutex WindowsMutex;
+  std::unordered_map<std::string, RateWindow> Windows;
+};
+
+LogState &state() {
+  static LogState State;
+  return State;
+}
+
+const char *toString(LogLevel Level) {
+  switch (Level) {
+  case LogLevel::Debug:
+    return "debug";
+  case LogLevel::Info:
+    return "info";
+  case LogLevel::Warning:
+    return "warning";
+  case LogLevel::Error:
+    return "error";
+  }
+  return "error";
+}
+
+/// Returns how many lines were left out before this one, or -1 if this one is
+/// to be left out too.
+int admitLine(const std::string &Name) {
+  std::lock_guard Lock(state().WindowsMutex);
+  RateWindow &Window = state().Windows[Name];
+  auto Now = std::chrono::steady_clock::now();
+  int LeftOut = 0;
+  if (Now - Window.Start >= std::chrono::seconds(1)) {
+    LeftOut = Window.Suppressed;
+    Window = {Now, 0, 0};
+  }
+  if (Window.Written >= MaxLinesPerSecond) {
+    ++Window.Suppressed;
+    return -1;
+  }
+
+  ++Window.Written;
+  return LeftOut;
+}
+
+} // namespace
+
+void startLog(std::string_view Process, LogLevel Least) {
+  namespace log = boost::log;
+  state().Process = std::string(Process);
+  state().Least = Least;
+  log::add_common_attributes();
+  log::add_console_log(
+      std::clog, log::keywords::auto_flush = true,
+      log::keywords::format =
+          (log::expressions::stream
+           << "time="
+           << log::expressions::format_date_time<boost::posix_time::ptime>(
+                  "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+           << " " << log::expressions::smessage));
+}
+
+LogLevel parseLogLevel(std::string_view Name) {
+  if (Name == "debug")
+    return LogLevel::Debug;
+  if (Name == "info")
+    return LogLevel::Info;
+  if (Name == "warning")
+    return LogLevel::Warning;
+  assert(Name == "error");
+  return LogLevel::Error;
+}
+
+void appendLogValue(std::string &Line, std::string_view Value) {
+  bool Plain = !Value.empty() &&
+               Value.find_first_of(" \"\n\r\t=\\") == std::string_view::npos;
+  if (Plain) {
+    Line += Value;
+    return;
+  }
+
+  Line += '"';
+  for (char Each : Value) {
+    if (Each == '\n') {
+      Line += "\\n";
+      continue;
+    }
+    if (Each == '"' || Each == '\\')
+      Line += '\\';
+    Line += static_cast<unsigned char>(Each) < ' ' ? ' ' : Each;
+  }
+  Line += '"';
+}
+
+LogEvent::LogEvent(LogLevel Level, std::string_view Name)
+    : Level(Level), Name(Name), Enabled(Level >= state().Least.load()) {}
+
+LogEvent &LogEvent::with(std::string_view Key, std::string_view Value) {
+  if (!Enabled)
+    return *this;
+
+  Line += ' ';
+  Line += Key;
+  Line += '=';
+  appendLogValue(Line, Value);
+  return *this;
+}
+
+LogEvent &LogEvent::with(std::string_view Key, std::int64_t Value) {
+  return with(Key, std::to_string(Value));
+}
+
+LogEvent::~LogEvent() {
+  if (!Enabled)
+    return;
+  int LeftOut = admitLine(Name);
+  if (LeftOut < 0)
+    return;
+  if (LeftOut > 0)
+    with("left_out", LeftOut);
+
+  static boost::log::sources::logger_mt Logger;
+  BOOST_LOG(Logger) << "level=" << toString(Level)
+                    << " process=" << state().Process << " event=" << Name
+                    << Line;
+}
+
+} // namespace daisyspool
