--- /dev/null
+++ b/standins/MemoryTable.h
@@ -0,0 +1,159 @@
+#ifndef DAISYSPOOL_STANDINS_MEMORYTABLE_H
+#define DAISYSPOOL_STANDINS_MEMORYTABLE_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/platform/TableService.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+
+namespace daisyspool {
+
+/// Rows, conditions and tokens of the table service in memory, without faults.
+///
+/// Shared by the platform stand-in and by the fake of the tests, so that both
+/// follow the same rules. Thread safety: one thread at a time.
+class MemoryTable {
+public:
+  /// Time for which a token makes a repeat harmless, as in DynamoDB.
+  static constexpr std::chrono::minutes TokenLifetime{10};
+
+  std::optional<Row> read(const RowKey &Key) const {
+    auto Found = Rows.find(Key);
+    if (Found == Rows.end())
+      return std::nullopt;
+
+    return Found->second;
+  }
+
+  std::vector<Row> query(const std::string &Partition,
+                         const std::string &FromSort, std::size_t Limit) const {
+    std::vector<Row> Result;
+    for (auto It = Rows.lower_bound({Partition, FromSort});
+         It != Rows.end() && It->first.Partition == Partition &&
+         Result.size() < Limit;
+         ++It)
+      Result.push_back(It->second);
+
+    return Result;
+  }
+
+  /// Throws ConditionFailed or PlatformProtocolError, changing nothing.
+  void commit(const Transaction &Writes, TimePoint Now) {
+    requireValid(Writes);
+    forgetTokens(Now);
+    auto Known = Tokens.find(Writes.Token);
+    if (Known != Tokens.end()) {
+      if (Known->second.Content != content(Writes))
+        throw PlatformProtocolError("token used by another transaction");
+      return;
+    }
+
+    for (const Write &Each : Writes.Writes)
+      std::visit([this](const auto &What) { require(What); }, Each);
+
+    for (const Write &Each : Writes.Writes)
+      std::visit([this](const auto &What) { apply(What); }, Each);
+    Tokens[Writes.Token] = {content(Writes), Now};
+  }
+
+  const std::map<RowKey, Row> &rows() const { return Rows; }
+
+private:
+  struct UsedToken {
+    std::string Content;
+    TimePoint At{};
+  };
+
+  static std::size_t bytes(const PutRow &What) {
+    return What.Key.Partition.size() + What.Key.Sort.size() + What.Value.size();
+  }
+  template <typename Other> static std::size_t bytes(const Other &What) {
+    return What.Key.Partition.size() + What.Key.Sort.size();
+  }
+
+  static void requireValid(const Transaction &Writes) {
+    if (Writes.Token.empty())
+      throw PlatformProtocolError("empty token");
+    if (Writes.Writes.empty() || Writes.Writes.size() > TableService::MaxWrites)
+      throw PlatformProtocolError("a transaction has 1 to 100 writes");
+
+    std::set<RowKey> Keys;
+    std::size_t Total = 0;
+    for (const Write &Each : Writes.Writes) {
+      const RowKey &Key = std::visit(
+          [](const auto &What) -> const RowKey & { return What.Key; }, Each);
+      std::size_t Size =
+          std::visit([](const auto &What) { return bytes(What); }, Each);
+      if (Key.Partition.empty() || Key.Sort.empty())
+        throw PlatformProtocolError("empty row key");
+      if (!Keys.insert(Key).second)
+        throw PlatformProtocolError("two writes to one row");
+      if (Size > TableService::MaxRowBytes)
+        throw PlatformProtocolError("row too large");
+      Total += Size;
+    }
+    if (Total > TableService::MaxTransactionBytes)
+      throw PlatformProtocolError("transaction too large");
+  }
+
+  /// The transaction as one text, to recognise a repeat. Lengths keep
+  /// neighbouring fields apart.
+  static std::string content(const Transaction &Writes) {
+    std::string Text;
+    auto Add = [&Text](const std::string &Field) {
+      Text += std::to_string(Field.size()) + ':' + Field;
+    };
+    for (const Write &Each : Writes.Writes) {
+      Add(std::to_string(Each.index()));
+      std::visit(
+          [&](const auto &What) {
+            Add(What.Key.Partition);
+            Add(What.Key.Sort);
+            Add(std::to_string(What.Require.index()));
+            if (auto *Exact = std::get_if<MustHaveVersion>(&What.Require))
+              Add(std::to_string(Exact->Version));
+          },
+          Each);
+      if (auto *Put = std::get_if<PutRow>(&Each)) {
+        Add(std::to_string(Put->NewVersion));
+        Add(Put->Value);
+      }
+    }
+
+    return Text;
+  }
+
+  void forgetTokens(TimePoint Now) {
+    std::erase_if(Tokens, [Now](const auto &Each) {
+      return Now - Each.second.At >= TokenLifetime;
+    });
+  }
+
+  template <typename AnyWrite> void require(const AnyWrite &What) const {
+    auto Found = Rows.find(What.Key);
+    bool Exists = Found != Rows.end();
+    auto *Exact = std::get_if<MustHaveVersion>(&What.Require);
+    if (std::holds_alternative<MustNotExist>(What.Require) && Exists)
+      throw ConditionFailed(What.Key.Partition + "/" + What.Key.Sort +
+                            " exists");
+    if (Exact && (!Exists || Found->second.Version != Exact->Version))
+      throw ConditionFailed(What.Key.Partition + "/" + What.Key.Sort +
+                            " has another version");
+  }
+
+  void apply(const PutRow &What) {
+    Rows[What.Key] = {What.Key, What.NewVersion, What.Value};
+  }
+  void apply(const DeleteRow &What) { Rows.erase(What.Key); }
+  void apply(const CheckRow &) {}
+
+  std::map<RowKey, Row> Rows;
+  std::map<std::string, UsedToken> Tokens;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_STANDINS_MEMORYTABLE_H
