--- /dev/null
+++ b/include/daisyspool/journal/ShardJournal.h
@@ -0,0 +1,142 @@
+#ifndef DAISYSPOOL_JOURNAL_SHARDJOURNAL_H
+#define DAISYSPOOL_JOURNAL_SHARDJOURNAL_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/journal/Entry.h"
+#include "daisyspool/platform/ObjectStore.h"
+#include "daisyspool/platform/TableService.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daisyspool {
+
+/// Lease of a log and the pace of its housekeeping.
+struct JournalSettings {
+  Duration Lease = Millis(6000);
+  std::uint64_t EntriesPerSnapshot = 500;
+};
+
+/// Time that a candidate waits for a lease of \p Lease to have ended on
+/// another clock.
+constexpr Duration takeoverWait(Duration Lease) { return Lease * 11 / 10; }
+
+/// Time for which a holder uses a lease of \p Lease. Two clocks that are 5%
+/// off in opposite directions differ by a factor of 1.105, more than the 1.1
+/// of takeoverWait, so that the holder stops 1% early.
+constexpr Duration holderTime(Duration Lease) { return Lease * 99 / 100; }
+
+/// What replay found: the newest usable snapshot and the entries after it.
+struct Replay {
+  std::optional<std::string> Snapshot;
+  std::vector<JournalEntry> Entries;
+};
+
+/// One log in the table service, with one owner at a time by epoch.
+///
+/// Use it for the state of a shard or, with a partition of its own, for the
+/// records of one process. A call of observe() on each duty step watches the
+/// head and takes the log over when its owner has been silent. The owner calls
+/// append() with one batch at a time, and act only while mayAct(). See
+/// ShardOwner for the state machine on top.
+///
+/// Thread safety: one thread. Every call may block in the TableService.
+/// Precondition: the ProcessId differs for each start of a process.
+class ShardJournal {
+public:
+  ShardJournal(std::string Partition, ProcessId Self, std::string Address,
+               TableService &Table, ObjectStore &Objects, const Clock &Time,
+               JournalSettings Settings = {});
+  ShardJournal(const ShardJournal &) = delete;
+  ShardJournal &operator=(const ShardJournal &) = delete;
+
+  /// For a process that does not own the log: reads the head, and takes the
+  /// log over if it is new or its head has not changed for takeoverWait().
+  /// Returns whether the log was taken over. Throws PlatformUnavailable or
+  /// PlatformThrottled; the next call continues.
+  bool observe();
+
+  /// Whether this process took the log over and has not been fenced since.
+  bool owns() const { return Owned; }
+
+  /// Whether the owner may act on what is durable: less than the holder's time
+  /// has passed since it started its last successful write.
+  bool mayAct() const;
+
+  /// Whether a write is unsettled, so that no batch can be appended.
+  bool hasPending() const { return Unsettled.has_value(); }
+
+  /// The head as last read or written by this process, for routing to its
+  /// owner.
+  const std::optional<JournalHead> &lastHead() const { return Seen; }
+
+  /// Precondition: owns().
+  Epoch epoch() const;
+
+  /// Reads what the log holds. Precondition: owns() and no append since. Throws
+  /// PlatformUnavailable, PlatformThrottled or JournalCorrupt.
+  Replay replay();
+
+  /// Appends \p Body as one batch. Returns true if it is durable and false if
+  /// that is not known yet; settle() then continues. Throws FencedOff if the
+  /// log has another owner. Precondition: owns() and not hasPending().
+  bool append(std::string Body);
+
+  /// Continues an unsettled write. Returns true when nothing is unsettled any
+  /// more. Throws FencedOff. Precondition: owns().
+  bool settle();
+
+  /// Rewrites the head if a third of the lease has passed since the last
+  /// successful write. Throws FencedOff. Precondition: owns() and not
+  /// hasPending().
+  void renewIfDue();
+
+  /// Whether enough entries were appended since the last snapshot.
+  bool wantsSnapshot() const;
+
+  /// Stores \p State, which must reflect exactly the durable entries, so that
+  /// replay starts there. Returns false if the store did not answer; the log
+  /// is unharmed. Throws FencedOff. Precondition: owns() and not hasPending().
+  bool saveSnapshot(const std::string &State);
+
+private:
+  /// A write whose effect is not known. Started is the time of its first
+  /// attempt, from which the lease counts when it turns out to be durable.
+  struct PendingWrite {
+    Transaction Request;
+    JournalHead NewHead;
+    std::optional<JournalEntry> Entry;
+    TimePoint Started;
+  };
+
+  bool tryTakeover(const std::optional<Row> &Found);
+  bool startWrite(JournalHead NewHead, std::optional<JournalEntry> Entry);
+  void buildRequest(PendingWrite &Write) const;
+  bool attempt();
+  bool readBack();
+  void finish();
+  [[noreturn]] void fence(const char *Why);
+  std::string newToken() const;
+  RowKey headKey() const { return {Partition, HeadSort}; }
+
+  std::string Partition;
+  ProcessId Self;
+  std::string Address;
+  TableService &Table;
+  ObjectStore &Objects;
+  const Clock &Time;
+  JournalSettings Settings;
+
+  bool Owned = false;
+  std::optional<JournalHead> Seen;
+  std::uint64_t HeadVersion = 0;
+  std::optional<TimePoint> SeenSince;
+  TimePoint LeaseStart{};
+  std::optional<PendingWrite> Unsettled;
+  mutable std::uint64_t Tokens = 0;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_JOURNAL_SHARDJOURNAL_H
--- /dev/null
+++ b/include/daisyspool/journal/journal.h
@@ -0,0 +1,13 @@
+// The journal module: a shard's durable log in the platform's table service,
+// with one owner at a time. It has no threads; its only I/O is through the
+// TableService and ObjectStore that it is given.
+//
+//   Entry.h         the rows of a log, their codec and hash chain
+//   ShardJournal.h  ownership, appends, replay and snapshots of one log
+#ifndef DAISYSPOOL_JOURNAL_JOURNAL_H
+#define DAISYSPOOL_JOURNAL_JOURNAL_H
+
+#include "daisyspool/journal/Entry.h"
+#include "daisyspool/journal/ShardJournal.h"
+
+#endif // DAISYSPOOL_JOURNAL_JOURNAL_H
--- /dev/null
+++ b/tests/journal/ShardJournalTest.cpp
@@ -0,0 +1,136 @@
+#include "daisyspool/journal/journal.h"
+#include "sim/MemoryPlatform.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+using namespace daisyspool::sim;
+
+namespace {
+
+constexpr Duration Lease = Millis(6000);
+
+struct Process {
+  Process(StoreContents &Contents, const Clock &Time, const char *Name)
+      : Table(Contents), Objects(Contents),
+        Log("shard/0", ProcessId(Name), Name, Table, Objects, Time,
+            {Lease, 4}) {}
+
+  MemoryTable Table;
+  MemoryObjects Objects;
+  ShardJournal Log;
+};
+
+struct Fixture {
+  StoreContents Contents;
+  ManualClock Time;
+  Process First{Contents, Time, "a"};
+  Process Second{Contents, Time, "b"};
+
+  void takeOver() {
+    REQUIRE_FALSE(Second.Log.observe());
+    Time.advance(takeoverWait(Lease));
+    REQUIRE(Second.Log.observe());
+  }
+};
+
+std::vector<std::string> bodies(const Replay &Found) {
+  std::vector<std::string> Result;
+  for (const JournalEntry &Entry : Found.Entries)
+    Result.push_back(Entry.Body);
+  return Result;
+}
+
+} // namespace
+
+// Guards against a paused former owner that still writes after a takeover.
+TEST_CASE("a former owner is fenced by the next owner's epoch") {
+  Fixture Setup;
+  REQUIRE(Setup.First.Log.observe());
+  REQUIRE(Setup.First.Log.append("one"));
+  Setup.takeOver();
+
+  REQUIRE_FALSE(Setup.First.Log.mayAct());
+  REQUIRE_THROWS_AS(Setup.First.Log.append("stale"), FencedOff);
+  REQUIRE(Setup.Second.Log.epoch() == Epoch(2));
+  REQUIRE(bodies(Setup.Second.Log.replay()) == std::vector<std::string>{"one"});
+}
+
+// Guards against a candidate that takes a log from an owner that renews.
+TEST_CASE("an owner that renews keeps its log") {
+  Fixture Setup;
+  REQUIRE(Setup.First.Log.observe());
+  for (int Step = 0; Step < 20; ++Step) {
+    Setup.Time.advance(Lease / 3);
+    Setup.First.Log.renewIfDue();
+    REQUIRE_FALSE(Setup.Second.Log.observe());
+  }
+  REQUIRE(Setup.First.Log.mayAct());
+}
+
+// Guards against a batch that is lost or written twice when the store's answer
+// is lost or its effect comes late.
+TEST_CASE("a batch with a lost answer is appended once") {
+  const StoreFault Fault =
+      GENERATE(StoreFault::Outage, StoreFault::Throttled,
+               StoreFault::LostAnswer, StoreFault::LateEffect);
+  const bool LateFirst = GENERATE(false, true);
+  Fixture Setup;
+  REQUIRE(Setup.First.Log.observe());
+  Setup.First.Table.Fault = Fault;
+  REQUIRE_FALSE(Setup.First.Log.append("one"));
+  Setup.First.Table.Fault = StoreFault::None;
+  if (LateFirst)
+    Setup.Contents.applyLate();
+
+  REQUIRE(Setup.First.Log.settle());
+  Setup.Contents.applyLate();
+  REQUIRE(Setup.First.Log.append("two"));
+  REQUIRE(bodies(Setup.First.Log.replay()) ==
+          std::vector<std::string>{"one", "two"});
+}
+
+// Guards against a lease that is counted from the end of a slow write, which
+// would outlast the candidate's wait.
+TEST_CASE("the lease counts from the start of the write") {
+  Fixture Setup;
+  REQUIRE(Setup.First.Log.observe());
+  Setup.First.Table.Fault = StoreFault::LostAnswer;
+  REQUIRE_FALSE(Setup.First.Log.append("one"));
+  Setup.Time.advance(holderTime(Lease));
+  Setup.First.Table.Fault = StoreFault::None;
+
+  REQUIRE(Setup.First.Log.settle());
+  REQUIRE_FALSE(Setup.First.Log.mayAct());
+}
+
+// Guards against a takeover that replays the whole log, and against a missing
+// or altered snapshot that loses entries.
+TEST_CASE("replay starts at a valid snapshot and survives a bad one") {
+  Fixture Setup;
+  REQUIRE(Setup.First.Log.observe());
+  for (const char *Body : {"1", "2", "3", "4"})
+    REQUIRE(Setup.First.Log.append(Body));
+  REQUIRE(Setup.First.Log.wantsSnapshot());
+  REQUIRE(Setup.First.Log.saveSnapshot("state"));
+  REQUIRE_FALSE(Setup.First.Log.wantsSnapshot());
+  REQUIRE(Setup.First.Log.append("5"));
+  Setup.takeOver();
+
+  SECTION("the snapshot is used") {
+    Replay Found = Setup.Second.Log.replay();
+    REQUIRE(Found.Snapshot == "state");
+    REQUIRE(bodies(Found) == std::vector<std::string>{"5"});
+  }
+  SECTION("an altered snapshot is ignored") {
+    Setup.Contents.Objects.begin()->second = "altered";
+    Replay Found = Setup.Second.Log.replay();
+    REQUIRE_FALSE(Found.Snapshot.has_value());
+    REQUIRE(bodies(Found).size() == 5);
+  }
+  SECTION("an altered entry is reported") {
+    Setup.Contents.Rows.at({"shard/0", entrySort(SequenceNumber(5))}).Value =
+        Setup.Contents.Rows.at({"shard/0", entrySort(SequenceNumber(4))}).Value;
+    REQUIRE_THROWS_AS(Setup.Second.Log.replay(), JournalCorrupt);
+  }
+}
