--- /dev/null
+++ b/include/daisyspool/admission/admission.h
@@ -0,0 +1,16 @@
+// The admission module: which requests of a service run, wait or are refused.
+// It is pure: it takes observations and times and returns decisions.
+//
+//   WorkClass.h         classes of work and what a request holds
+//   AdmissionQueue.h    refusal by deadline, fair queues by class and team
+//   ConcurrencyLimit.h  adaptive concurrency of one target
+//   ServiceEstimate.h   learned distribution of durations
+#ifndef DAISYSPOOL_ADMISSION_ADMISSION_H
+#define DAISYSPOOL_ADMISSION_ADMISSION_H
+
+#include "daisyspool/admission/AdmissionQueue.h"
+#include "daisyspool/admission/ConcurrencyLimit.h"
+#include "daisyspool/admission/ServiceEstimate.h"
+#include "daisyspool/admission/WorkClass.h"
+
+#endif // DAISYSPOOL_ADMISSION_ADMISSION_H
--- /dev/null
+++ b/tests/admission/AdmissionQueueTest.cpp
@@ -0,0 +1,324 @@
+#include "daisyspool/admission/admission.h"
+#include "daisyspool/core/Random.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+using namespace daisyspool;
+
+namespace {
+
+constexpr std::array<WorkClass, WorkClassCount> Classes{
+    WorkClass::Urgent, WorkClass::Session, WorkClass::Standard,
+    WorkClass::Batch};
+
+TimePoint at(Duration SinceStart) { return TimePoint(SinceStart); }
+
+AdmissionSettings settings() {
+  AdmissionSettings Settings;
+  for (ClassPolicy &Policy : Settings.Classes) {
+    Policy.InitialService = Millis(10);
+    Policy.MaxQueued = 8;
+  }
+  return Settings;
+}
+
+Work work(std::uint64_t Key, WorkClass Class, const char *Team = "blue",
+          Duration Remaining = std::chrono::seconds(10)) {
+  return {Key, Class, TeamId(Team), Remaining, Occupies::Slot, false};
+}
+
+/// What may happen to each request, by key.
+struct QueueOracle {
+  enum class Phase { Queued, Running, Refused, Done };
+
+  std::map<std::uint64_t, Phase> Phases;
+  std::vector<Dispatch> Running;
+  std::array<std::uint32_t, OccupiesCount> Held{};
+  std::array<std::uint32_t, OccupiesCount> Capacity{3, 3};
+  std::uint64_t NextKey = 0;
+
+  std::uint32_t &held(Occupies Holds) {
+    return Held[static_cast<std::size_t>(Holds)];
+  }
+
+  void start(const Dispatch &Started, TimePoint Now) {
+    Phases[Started.Key] = Phase::Running;
+    Running.push_back(Started);
+    ++held(Started.Holds);
+    RC_ASSERT(held(Started.Holds) <=
+              Capacity[static_cast<std::size_t>(Started.Holds)]);
+    RC_ASSERT(Started.Deadline >= Now);
+  }
+
+  std::size_t count(Phase Which) const {
+    return static_cast<std::size_t>(
+        std::count_if(Phases.begin(), Phases.end(),
+                      [&](const auto &Item) { return Item.second == Which; }));
+  }
+};
+
+void offerChecked(AdmissionQueue &Queue, QueueOracle &Oracle, TimePoint Now) {
+  Work Request = work(Oracle.NextKey++, *rc::gen::elementOf(Classes),
+                      *rc::gen::element("blue", "red", "green"),
+                      Millis(*rc::gen::inRange(0, 100)));
+  Request.Holds = *rc::gen::element(Occupies::Slot, Occupies::ConnectionOnly);
+  Request.Attempted = *rc::gen::arbitrary<bool>();
+  AdmissionDecision Decision = Queue.offer(Request, Now);
+  RC_ASSERT(explain(Decision).find("class=") != std::string::npos);
+
+  if (auto *Start = std::get_if<Admitted>(&Decision)) {
+    Oracle.start(Start->Start, Now);
+  } else if (auto *No = std::get_if<Refused>(&Decision)) {
+    Oracle.Phases[Request.Key] = QueueOracle::Phase::Refused;
+    RC_ASSERT((No->Executed == Execution::NotRun) == !Request.Attempted);
+  } else {
+    Oracle.Phases[Request.Key] = QueueOracle::Phase::Queued;
+  }
+}
+
+void endChecked(AdmissionQueue &Queue, QueueOracle &Oracle, TimePoint Now) {
+  if (Oracle.Running.empty())
+    return;
+
+  Dispatch Ended = Oracle.Running.back();
+  Oracle.Running.pop_back();
+  --Oracle.held(Ended.Holds);
+  if (*rc::gen::inRange(0, 4) == 0) {
+    Oracle.Phases[Ended.Key] = QueueOracle::Phase::Queued;
+    Queue.restore(Ended, Now);
+    return;
+  }
+  Oracle.Phases[Ended.Key] = QueueOracle::Phase::Done;
+  Queue.onDone(Ended, Millis(*rc::gen::inRange(1, 30)), true);
+}
+
+void stepChecked(AdmissionQueue &Queue, QueueOracle &Oracle, TimePoint &Now) {
+  switch (*rc::gen::weightedElement<int>(
+      {{8, 0}, {4, 1}, {4, 2}, {1, 3}, {2, 4}, {1, 5}})) {
+  case 0:
+    offerChecked(Queue, Oracle, Now);
+    break;
+  case 1:
+    if (auto Started = Queue.next(Now)) {
+      RC_ASSERT(Oracle.Phases[Started->Key] == QueueOracle::Phase::Queued);
+      Oracle.start(*Started, Now);
+    }
+    break;
+  case 2:
+    endChecked(Queue, Oracle, Now);
+    break;
+  case 3:
+    Queue.dropLate(Now);
+    break;
+  case 4:
+    Now += Millis(*rc::gen::inRange(0, 20));
+    break;
+  default:
+    // Capacity never falls below what is running in this test.
+    Oracle.Capacity[0] = std::max(Oracle.Held[0], *rc::gen::inRange(0U, 6U));
+    Queue.setCapacity(Occupies::Slot, Oracle.Capacity[0]);
+  }
+
+  while (auto Late = Queue.nextRefused()) {
+    RC_ASSERT(Oracle.Phases[Late->Key] == QueueOracle::Phase::Queued);
+    Oracle.Phases[Late->Key] = QueueOracle::Phase::Refused;
+  }
+}
+
+/// Serves a queue with a number of slots, in virtual time.
+class Server {
+public:
+  Server(AdmissionQueue &Queue, std::uint32_t Slots) : Queue(Queue) {
+    Queue.setCapacity(Occupies::Slot, Slots);
+  }
+
+  void offer(const Work &Request) {
+    auto Decision = Queue.offer(Request, Now);
+    if (auto *Start = std::get_if<Admitted>(&Decision))
+      run(Start->Start);
+  }
+
+  /// Runs until \p End; \p Refill is called whenever a slot is free.
+  template <typename RefillFn> void serve(TimePoint End, RefillFn Refill) {
+    while (Now < End) {
+      Refill();
+      while (auto Next = Queue.next(Now))
+        run(*Next);
+      while (Queue.nextRefused())
+        continue;
+
+      Now = Ends.top().first;
+      const Dispatch &Ended = Started[Ends.top().second];
+      Queue.onDone(Ended, service(Ended.Class), true);
+      Ends.pop();
+    }
+  }
+
+  /// Slot seconds used under \p Key.
+  double served(std::uint64_t Key) { return Served[Key]; }
+
+private:
+  using End = std::pair<TimePoint, std::size_t>;
+
+  static Duration service(WorkClass Class) {
+    return Class == WorkClass::Batch ? Millis(200) : Millis(10);
+  }
+
+  void run(const Dispatch &Next) {
+    Ends.push({Now + service(Next.Class), Started.size()});
+    Started.push_back(Next);
+    Served[Next.Key] +=
+        std::chrono::duration<double>(service(Next.Class)).count();
+  }
+
+  AdmissionQueue &Queue;
+  TimePoint Now{};
+  std::priority_queue<End, std::vector<End>, std::greater<>> Ends;
+  std::vector<Dispatch> Started;
+  std::map<std::uint64_t, double> Served;
+};
+
+} // namespace
+
+// Guards against a refused request that runs, a request that runs twice or is
+// lost, running beyond capacity, and a queue without bound.
+TEST_CASE("every request ends once: run, or refused and never run") {
+  REQUIRE(rc::check([] {
+    AdmissionQueue Queue(settings());
+    Queue.setCapacity(Occupies::Slot, 3);
+    Queue.setCapacity(Occupies::ConnectionOnly, 3);
+    Queue.setQuota(TeamId("red"), {2, 2, 4});
+    QueueOracle Oracle;
+    TimePoint Now = at(std::chrono::hours(1));
+
+    int Steps = *rc::gen::inRange(0, 400);
+    for (int Step = 0; Step < Steps; ++Step) {
+      stepChecked(Queue, Oracle, Now);
+
+      std::uint32_t Waiting = 0;
+      for (WorkClass Class : Classes)
+        Waiting += Queue.queued(Class);
+      RC_ASSERT(Waiting == Oracle.count(QueueOracle::Phase::Queued));
+      // 8 in each class and pool, and at most 6 + 3 restored ones.
+      RC_ASSERT(Waiting <= 8 * WorkClassCount * OccupiesCount + 9);
+    }
+  }));
+}
+
+// Guards against a class that is starved by a flood of the others, whatever
+// their service times are.
+TEST_CASE("with every class flooded, each gets its guaranteed share") {
+  AdmissionQueue Queue(settings());
+  Server Slots(Queue, 20);
+  Slots.serve(at(std::chrono::seconds(20)), [&] {
+    for (WorkClass Class : Classes)
+      while (Queue.queued(Class) < 8)
+        Slots.offer(work(static_cast<std::uint64_t>(Class), Class, "blue",
+                         std::chrono::hours(1)));
+  });
+
+  double Total = 20 * 20;
+  for (WorkClass Class : Classes) {
+    auto Index = static_cast<std::size_t>(Class);
+    REQUIRE(Slots.served(Index) >=
+            0.95 * settings().Classes[Index].Share * Total);
+  }
+}
+
+// Guards against one team's flood taking the other teams' part of a class,
+// both of its slots and of its bounded queue.
+TEST_CASE("a team that floods leaves the other teams their parts") {
+  AdmissionQueue Queue(settings());
+  Server Slots(Queue, 4);
+  Slots.serve(at(std::chrono::seconds(5)), [&] {
+    for (int Count = 0; Count < 50; ++Count)
+      Slots.offer(work(0, WorkClass::Standard, "flooding"));
+    for (std::uint64_t Team = 1; Team < 4; ++Team)
+      Slots.offer(work(Team, WorkClass::Standard,
+                       ("quiet" + std::to_string(Team)).c_str()));
+  });
+
+  for (std::uint64_t Team = 1; Team < 4; ++Team)
+    REQUIRE(Slots.served(Team) >= 0.95 * Slots.served(0));
+}
+
+// Guards against requests that wait for an answer that must come too late.
+TEST_CASE("work that cannot be on time is refused at once, unrun") {
+  AdmissionQueue Queue(settings());
+  Queue.setCapacity(Occupies::Slot, 1);
+
+  auto TooShort =
+      Queue.offer(work(1, WorkClass::Urgent, "blue", Millis(5)), at(Millis(0)));
+  REQUIRE(std::get<Refused>(TooShort).Reason == RefusalReason::Late);
+  REQUIRE(std::get<Refused>(TooShort).Executed == Execution::NotRun);
+
+  Queue.offer(work(2, WorkClass::Urgent), at(Millis(0)));
+  auto Behind = Queue.offer(work(3, WorkClass::Urgent, "blue", Millis(25)),
+                            at(Millis(0)));
+  REQUIRE(std::holds_alternative<Queued>(Behind));
+  auto TooFarBehind = Queue.offer(
+      work(4, WorkClass::Urgent, "blue", Millis(26)), at(Millis(0)));
+  REQUIRE(std::get<Refused>(TooFarBehind).Reason == RefusalReason::Late);
+}
+
+// Guards against running work whose caller has stopped waiting.
+TEST_CASE("queued work that became late is refused and not run") {
+  AdmissionQueue Queue(settings());
+  Queue.setCapacity(Occupies::Slot, 1);
+  auto First = Queue.offer(work(1, WorkClass::Urgent), at(Millis(0)));
+  Queue.offer(work(2, WorkClass::Urgent, "blue", Millis(30)), at(Millis(0)));
+  Queue.offer(work(3, WorkClass::Urgent, "blue", Millis(500)), at(Millis(0)));
+
+  Queue.onDone(std::get<Admitted>(First).Start, Millis(25), true);
+  REQUIRE(Queue.next(at(Millis(25)))->Key == 3);
+  REQUIRE(Queue.nextRefused()->Key == 2);
+}
+
+// Guards against a flood of long batch work that takes every slot, so that an
+// urgent request must wait for one of them to end.
+TEST_CASE("slots for the usual urgent demand are not lent to batch") {
+  AdmissionQueue Queue(settings());
+  Queue.setCapacity(Occupies::Slot, 10);
+  TimePoint Now = at(Millis(0));
+  for (std::uint64_t Key = 0; Key < 2000; ++Key) {
+    Now += Millis(10);
+    auto Decision = Queue.offer(work(Key, WorkClass::Urgent), Now);
+    Queue.onDone(std::get<Admitted>(Decision).Start, Millis(10), true);
+  }
+
+  int Started = 0;
+  for (std::uint64_t Key = 0; Key < 20; ++Key)
+    if (std::holds_alternative<Admitted>(
+            Queue.offer(work(3000 + Key, WorkClass::Batch), Now)))
+      ++Started;
+  REQUIRE(Started == 8);
+  REQUIRE(std::holds_alternative<Admitted>(
+      Queue.offer(work(4000, WorkClass::Urgent), Now)));
+
+  Queue.dropLate(Now + std::chrono::minutes(5));
+  REQUIRE(Queue.reservedAbove(WorkClass::Batch) == 0);
+}
+
+// Guards against a limit that ignores a slowdown or never grows back.
+TEST_CASE("the concurrency limit falls with latency and recovers") {
+  ConcurrencyLimit Limit(8);
+  for (int Count = 0; Count < 500; ++Count)
+    Limit.onSample(1.0, 8);
+  REQUIRE(Limit.limit() == 8);
+
+  for (int Count = 0; Count < 200; ++Count)
+    Limit.onSample(4.0, Limit.limit());
+  REQUIRE(Limit.limit() <= 4);
+  REQUIRE(Limit.limit() >= 1);
+
+  for (int Count = 0; Count < 500; ++Count)
+    Limit.onSample(1.0, Limit.limit());
+  REQUIRE(Limit.limit() == 8);
+}
