--- /dev/null
+++ b/tests/membership/SwimProtocolTest.cpp
@@ -0,0 +1,198 @@
+#include "membership/GossipSimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+
+namespace {
+
+bool everyoneSees(const GossipSimulation &Sim, std::size_t Index,
+                  MemberState State) {
+  const ProcessId Id = Sim.Nodes[Index].Machine->self();
+  return std::all_of(Sim.Nodes.begin(), Sim.Nodes.end(), [&](const auto &Node) {
+    const Member *Seen = Node.Machine->table().find(Id);
+    return !Node.Running || (Seen && Seen->State == State);
+  });
+}
+
+} // namespace
+
+// Guards against newcomers that some members never hear of.
+TEST_CASE("members that know one seed learn of all") {
+  GossipSimulation Sim(1, 3);
+  for (int Index = 0; Index < 24; ++Index)
+    Sim.add(Index < 3 ? MemberRole::Entry : MemberRole::Agent);
+
+  REQUIRE(Sim.runUntil([&] { return Sim.converged(); }, Millis(30000)));
+}
+
+// Guards against a dead VM that keeps its place in the fleet.
+TEST_CASE("a stopped member is declared dead everywhere") {
+  GossipSimulation Sim(2, 3);
+  for (int Index = 0; Index < 24; ++Index)
+    Sim.add();
+  Sim.introduceAll();
+  Sim.run(Millis(3000));
+  Sim.stop(5);
+
+  REQUIRE(Sim.runUntil([&] { return everyoneSees(Sim, 5, MemberState::Dead); },
+                       Millis(60000)));
+}
+
+// Guards against live members lost to a lossy network for good.
+TEST_CASE("a fifth of the datagrams lost kills no live member for good") {
+  GossipSimulation Sim(3, 3);
+  Sim.Link.Loss = 0.2;
+  for (int Index = 0; Index < 24; ++Index)
+    Sim.add();
+  Sim.run(Millis(300000));
+  Sim.Link.Loss = 0;
+
+  REQUIRE(Sim.runUntil([&] { return Sim.converged(); }, Millis(60000)));
+}
+
+// Guards against a paused process that, on resuming, declares members dead
+// whose refutations it has not read.
+TEST_CASE("a process that resumes after a pause suspects nobody at once") {
+  GossipSimulation Sim(4, 3);
+  for (int Index = 0; Index < 12; ++Index)
+    Sim.add();
+  Sim.introduceAll();
+  Sim.run(Millis(5000));
+  Sim.Nodes[4].Paused = true;
+  Sim.run(Millis(120000));
+  const auto DeadBefore = Sim.Nodes[4].Machine->counters().DeclaredDead;
+  Sim.Nodes[4].Paused = false;
+
+  REQUIRE(Sim.runUntil([&] { return Sim.converged(); }, Millis(60000)));
+  REQUIRE(Sim.Nodes[4].Machine->counters().DeclaredDead == DeadBefore);
+}
+
+// Guards against a cut that splits the membership for good, and against a
+// storm of datagrams when it heals.
+TEST_CASE("an hour's cut heals within the rate limit") {
+  GossipSimulation Sim(5, 3);
+  for (int Index = 0; Index < 30; ++Index)
+    Sim.add(Index < 3 ? MemberRole::Entry : MemberRole::Agent);
+  Sim.introduceAll();
+  Sim.Cut = [](std::uint64_t One, std::uint64_t Other) {
+    return (One == 0) != (Other == 0);
+  };
+  Sim.run(std::chrono::hours(1));
+  REQUIRE(Sim.Nodes[1].Machine->table().reachableCount() == 20);
+
+  Sim.Cut = nullptr;
+  std::vector<std::uint64_t> Before;
+  for (const auto &Node : Sim.Nodes)
+    Before.push_back(Node.Machine->counters().SentBytes);
+  const TimePoint Healed = Sim.now();
+  REQUIRE(Sim.runUntil([&] { return Sim.converged(); }, Millis(60000)));
+
+  const double Seconds =
+      std::chrono::duration<double>(Sim.now() - Healed).count();
+  for (std::size_t Index = 0; Index < Sim.Nodes.size(); ++Index) {
+    const auto Sent =
+        Sim.Nodes[Index].Machine->counters().SentBytes - Before[Index];
+    REQUIRE(static_cast<double>(Sent) <= 4096 * (Seconds + 1));
+  }
+}
+
+// Guards against work sent to a target that is leaving or draining.
+TEST_CASE("entries hear of a leave and of a drain within three seconds") {
+  GossipSimulation Sim(6, 3);
+  Sim.Link.Loss = 0.05;
+  for (int Index = 0; Index < 40; ++Index)
+    Sim.add(Index < 3 ? MemberRole::Entry : MemberRole::Agent);
+  Sim.introduceAll();
+  Sim.run(Millis(5000));
+
+  SwimProtocol &Draining = *Sim.Nodes[20].Machine;
+  MemberInfo Info = Draining.table().find(Draining.self())->Info;
+  Info.Draining = true;
+  Sim.transmit(20, Draining.changeInfo(Info, Sim.now()));
+  SwimProtocol &Leaving = *Sim.Nodes[21].Machine;
+  Sim.transmit(21, Leaving.leave(Sim.now()));
+
+  REQUIRE(Sim.runUntil(
+      [&] {
+        for (std::size_t Entry = 0; Entry < 3; ++Entry) {
+          const auto &Table = Sim.Nodes[Entry].Machine->table();
+          if (!Table.find(Draining.self())->Info.Draining ||
+              Table.find(Leaving.self())->State != MemberState::Left)
+            return false;
+        }
+        return true;
+      },
+      Millis(3000)));
+}
+
+// Guards against a replaced VM whose clock is behind and that stays dead.
+TEST_CASE("a restart with a lower incarnation becomes alive everywhere") {
+  GossipSimulation Sim(7, 3);
+  for (int Index = 0; Index < 12; ++Index)
+    Sim.add();
+  Sim.introduceAll();
+  Sim.stop(3);
+  Sim.run(Millis(60000));
+  Sim.restart(3, Incarnation(1));
+
+  REQUIRE(Sim.runUntil([&] { return Sim.converged(); }, Millis(60000)));
+  REQUIRE(Sim.Nodes[3].Machine->incarnation() > Incarnation(1000));
+}
+
+// Guards against malformed input that crashes a process or changes its table.
+TEST_CASE("bad datagrams are typed errors and are counted") {
+  GossipSimulation Sim(8, 1);
+  Sim.add();
+  Sim.add();
+  SwimProtocol &Machine = *Sim.Nodes[0].Machine;
+  Datagram Message{ProcessId("worker-1"), Incarnation(1), {}, Probe{1}, {}};
+  const std::string Good = encode(Message);
+
+  std::uint64_t Expected = 0;
+  for (std::size_t Size = 0; Size < Good.size(); ++Size, ++Expected)
+    REQUIRE_THROWS_AS(
+        Machine.receive(Sim.addressOf(1), Good.substr(0, Size), Sim.now()),
+        MalformedDatagram);
+  // An array header that claims four thousand million elements.
+  REQUIRE_THROWS_AS(
+      Machine.receive(Sim.addressOf(1), "\xdd\xff\xff\xff\xff", Sim.now()),
+      MalformedDatagram);
+  REQUIRE(Machine.counters().Malformed == Expected + 1);
+
+  std::string Newer = Good;
+  Newer[1] = 2;
+  REQUIRE_THROWS_AS(Machine.receive(Sim.addressOf(1), Newer, Sim.now()),
+                    UnsupportedVersion);
+  REQUIRE(Machine.counters().OtherVersion == 1);
+  REQUIRE(Machine.table().size() == 1);
+  REQUIRE(Machine.refuse(Sim.addressOf(1), Sim.now()).size() == 1);
+}
+
+// Guards against random bytes that pass the decoder's checks and crash it.
+TEST_CASE("random changes of a datagram never escape the typed errors") {
+  Random Rng(9);
+  Datagram Message{ProcessId("worker-1"),
+                   Incarnation(7),
+                   {ConfigVersion(3), Millis(5)},
+                   SyncBuckets{{{3, 0, 9, {{1, 2}, {3, 4}}}}},
+                   {}};
+  MemberInfo Info;
+  Info.Address = {"10.0.0.1", 7};
+  Message.Updates.push_back({ProcessId("worker-2"), MemberState::Alive,
+                             Incarnation(2), Incarnation(1), Info});
+  const std::string Good = encode(Message);
+  REQUIRE(encode(decode(Good)) == Good);
+
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Bytes = Good;
+    for (std::uint64_t Change = Rng.below(4) + 1; Change > 0; --Change)
+      Bytes[Rng.below(Bytes.size())] = static_cast<char>(Rng.below(256));
+    try {
+      decode(Bytes);
+    } catch (const ProtocolError &) {
+      continue;
+    }
+  }
+  SUCCEED();
+}
