Serve a request along the whole path

Cause: callers could not reach a target; no process joined the parts.

Change: the entry process (callers' port, target pool, request flow with the router and the admission queue), the command line, and the target stand-in. The work class moves to core, as messages and admission share it.

--- a/include/daisyspool/admission/WorkClass.h
+++ b/include/daisyspool/admission/WorkClass.h
@@ -1,19 +1,13 @@
 #ifndef DAISYSPOOL_ADMISSION_WORKCLASS_H
 #define DAISYSPOOL_ADMISSION_WORKCLASS_H
 
+#include "daisyspool/core/WorkClass.h"
+
 #include <cstddef>
 #include <cstdint>
 
 namespace daisyspool {
 
-/// Classes of work, most urgent first.
-enum class WorkClass : std::uint8_t { Urgent, Session, Standard, Batch };
-
-inline constexpr std::size_t WorkClassCount = 4;
-
-/// The class's name in settings, metrics and logs.
-const char *toString(WorkClass Class);
-
 /// What a request holds at its target while it runs. Every request holds a
 /// connection; only one that computes also holds a slot.
 enum class Occupies : std::uint8_t { Slot, ConnectionOnly };
--- a/include/daisyspool/agent/TargetFront.h
+++ b/include/daisyspool/agent/TargetFront.h
@@ -57,14 +57,21 @@
   /// or after \p Bound, ending open streams at a frame border.
   void drain(Millis Bound, std::function<void()> Done);
 
-  wire::TargetLoad load() const;
+  /// How full the target is, and how much of it \p Origin holds.
+  wire::TargetLoad load(const ProcessId &Origin = {}) const;
 
 private:
   struct Attempt;
   using AttemptPtr = std::shared_ptr<Attempt>;
 
+  /// What one process holds of the target.
+  struct Holding {
+    std::uint32_t Slots = 0;
+    std::uint32_t Streams = 0;
+  };
+
   wire::RefusalReason admit(const wire::ServeRequest &What) const;
-  void refuse(const wire::ServeRequest &What, wire::RefusalReason Reason,
+  void refuse(const AttemptKey &Key, wire::RefusalReason Reason,
               const Reply &Answer) const;
   void start(const AttemptPtr &Which);
   void startStream(const AttemptPtr &Which, http::Request Outgoing);
@@ -75,8 +82,8 @@
   void expireQueued();
   void scheduleExpiry();
   void finishDrain();
+  wire::TargetLoad loadFor(const Attempt &Which) const;
 
-  boost::asio::io_context &Io;
   const Clock &Time;
   Options Config;
   http::Client Target;
@@ -85,6 +92,7 @@
   boost::asio::steady_timer DrainTimer;
   std::map<AttemptKey, AttemptPtr> Open;
   std::deque<AttemptPtr> Queue;
+  std::map<ProcessId, Holding> Holdings;
   std::function<void()> OnDrained;
   std::size_t BusySlots = 0;
   std::size_t Streams = 0;
--- a/include/daisyspool/wire/Messages.h
+++ b/include/daisyspool/wire/Messages.h
@@ -71,8 +71,15 @@
   std::uint32_t BusySlots = 0;
   std::uint32_t Queued = 0;
   std::uint32_t Connections = 0;
+  /// Of the above, those held for the process that the reply goes to.
+  std::uint32_t OwnSlots = 0;
+  std::uint32_t OwnConnections = 0;
+  /// Time from the request's arrival at the agent to this reply.
+  Duration AtTarget{};
   bool Draining = false;
-  MSGPACK_DEFINE_ARRAY(BusySlots, Queued, Connections, Draining)
+
+  MSGPACK_DEFINE_ARRAY(BusySlots, Queued, Connections, OwnSlots, OwnConnections,
+                       AtTarget, Draining)
 };
 
 enum class ServeOutcome {
@@ -97,12 +104,14 @@
   Duplicate,
   Overloaded,
   TargetUnreachable,
-  WrongIncarnation
+  WrongIncarnation,
+  /// The answer to a query for an attempt that was barred before it arrived.
+  NeverArrived
 };
 
 template <>
 inline constexpr int LastEnumerator<RefusalReason> =
-    static_cast<int>(RefusalReason::WrongIncarnation);
+    static_cast<int>(RefusalReason::NeverArrived);
 
 /// The answer to a ServeRequest, or one frame of it.
 struct ServeReply {
--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -46,7 +46,8 @@
   /// Stops new work, tells the entries, and calls \p Done when all requests in
   /// progress have ended.
   void drain(std::function<void()> Done) {
-    LogEvent(LogLevel::Info, "agent_draining");
+    LogEvent(LogLevel::Info, "agent_draining")
+        .with("bound_ms", Settings.DrainBound.count());
     LeavingSince = std::chrono::steady_clock::now();
     Announce.leave();
     Front.drain(Settings.DrainBound,
--- a/src/agent/TargetFront.cpp
+++ b/src/agent/TargetFront.cpp
@@ -28,6 +28,7 @@
   AttemptKey Key;
   wire::ServeRequest What;
   Reply Answer;
+  TimePoint Arrived;
   TimePoint Deadline;
   std::uint32_t NextFrame = 0;
   bool Started = false;
@@ -37,7 +38,7 @@
 
 TargetFront::TargetFront(boost::asio::io_context &Io, const Clock &Time,
                          Options Config)
-    : Io(Io), Time(Time), Config(std::move(Config)),
+    : Time(Time), Config(std::move(Config)),
       Target(Io, {this->Config.Target, this->Config.Connections}),
       Log(AttemptRetention), Expiry(Io), DrainTimer(Io) {
   scheduleExpiry();
@@ -60,28 +61,28 @@
   return RefusalReason::None;
 }
 
-void TargetFront::refuse(const wire::ServeRequest &What,
-                         wire::RefusalReason Reason,
+void TargetFront::refuse(const AttemptKey &Key, wire::RefusalReason Reason,
                          const Reply &Answer) const {
   wire::ServeReply Refusal;
-  Refusal.Attempt = What.Attempt;
+  Refusal.Attempt = Key.Attempt;
   Refusal.Outcome = wire::ServeOutcome::Refused;
   Refusal.Reason = Reason;
-  Refusal.Load = load();
+  Refusal.Load = load(Key.Origin);
   Answer(Refusal);
 }
 
 void TargetFront::serve(AttemptKey Key, wire::ServeRequest What, Reply Answer) {
   if (Open.contains(Key))
-    return refuse(What, wire::RefusalReason::Duplicate, Answer);
+    return refuse(Key, wire::RefusalReason::Duplicate, Answer);
   if (auto Reason = admit(What); Reason != wire::RefusalReason::None)
-    return refuse(What, Reason, Answer);
+    return refuse(Key, Reason, Answer);
   if (!What.Idempotent && !Log.begin(Key))
-    return refuse(What, wire::RefusalReason::Duplicate, Answer);
+    return refuse(Key, wire::RefusalReason::Duplicate, Answer);
 
   auto Created = std::make_shared<Attempt>();
   Created->Key = std::move(Key);
-  Created->Deadline = Time.now() + What.Remaining;
+  Created->Arrived = Time.now();
+  Created->Deadline = Created->Arrived + What.Remaining;
   Created->What = std::move(What);
   Created->Answer = std::move(Answer);
   Open.emplace(Created->Key, Created);
@@ -112,6 +113,7 @@
     return startStream(Which, std::move(Outgoing));
 
   ++BusySlots;
+  ++Holdings[Which->Key.Origin].Slots;
   // Closing the connection would not undo a non-idempotent request; waiting
   // longer learns its outcome for a caller that asks again.
   Duration Grace =
@@ -136,6 +138,7 @@
 
 void TargetFront::startStream(const AttemptPtr &Which, http::Request Outgoing) {
   ++Streams;
+  ++Holdings[Which->Key.Origin].Streams;
   auto SendFrame = [this, Which](std::string Bytes) {
     if (Which->Cancelled || Which->EndAtFrame)
       return false;
@@ -147,13 +150,14 @@
     Frame.Body = std::move(Bytes);
     Frame.Frame = Which->NextFrame++;
     Frame.Last = false;
-    Frame.Load = load();
+    Frame.Load = loadFor(*Which);
     Which->Answer(Frame);
     return true;
   };
   Target.stream(std::move(Outgoing), Config.StreamSilence, SendFrame,
                 [this, Which](http::Response Head, std::exception_ptr Failure) {
                   --Streams;
+                  --Holdings[Which->Key.Origin].Streams;
                   if (Failure && !Which->EndAtFrame)
                     return fail(Which, Failure);
 
@@ -188,7 +192,7 @@
   Answer.Last = true;
   Open.erase(Which->Key);
   startQueued();
-  Answer.Load = load();
+  Answer.Load = loadFor(*Which);
   if (!Which->What.Idempotent)
     Log.finish(Which->Key, Answer, Time.now());
   if (!Which->Cancelled)
@@ -269,11 +273,11 @@
   wire::ServeReply Result;
   Result.Attempt = Key.Attempt;
   Result.Outcome = wire::ServeOutcome::Refused;
-  Result.Reason = wire::RefusalReason::Duplicate;
+  Result.Reason = wire::RefusalReason::NeverArrived;
   auto State = Log.query(Key, Time.now());
   if (const auto *Ended = std::get_if<AttemptLog::Finished>(&State))
     Result = Ended->Answer;
-  Result.Load = load();
+  Result.Load = load(Key.Origin);
   Answer(Result);
 }
 
@@ -301,12 +305,24 @@
     std::exchange(OnDrained, nullptr)();
 }
 
-wire::TargetLoad TargetFront::load() const {
+wire::TargetLoad TargetFront::load(const ProcessId &Origin) const {
   wire::TargetLoad Result;
   Result.BusySlots = static_cast<std::uint32_t>(BusySlots);
   Result.Queued = static_cast<std::uint32_t>(Queue.size());
   Result.Connections = static_cast<std::uint32_t>(BusySlots + Streams);
   Result.Draining = Draining;
+  auto Own = Holdings.find(Origin);
+  if (Own == Holdings.end())
+    return Result;
+
+  Result.OwnSlots = Own->second.Slots;
+  Result.OwnConnections = Own->second.Slots + Own->second.Streams;
+  return Result;
+}
+
+wire::TargetLoad TargetFront::loadFor(const Attempt &Which) const {
+  wire::TargetLoad Result = load(Which.Key.Origin);
+  Result.AtTarget = Time.now() - Which.Arrived;
   return Result;
 }
 
--- /dev/null
+++ b/src/entry/CallerPort.h
@@ -0,0 +1,46 @@
+// The callers' HTTP port: service requests, announcements and health.
+#ifndef DAISYSPOOL_SRC_ENTRY_CALLERPORT_H
+#define DAISYSPOOL_SRC_ENTRY_CALLERPORT_H
+
+#include "daisyspool/core/Random.h"
+#include "daisyspool/entry/RequestFlow.h"
+#include "daisyspool/entry/RequestMetrics.h"
+#include "daisyspool/entry/TargetPool.h"
+#include "daisyspool/http/Server.h"
+#include "daisyspool/settings/EntrySettings.h"
+
+#include <functional>
+#include <memory>
+
+namespace daisyspool {
+
+class CallerPort {
+public:
+  CallerPort(boost::asio::io_context &Io, const EntrySettings &Settings,
+             Incarnation Number, TargetPool &Pool, RequestFlow &Flow,
+             RequestMetrics &Values);
+  CallerPort(const CallerPort &) = delete;
+  CallerPort &operator=(const CallerPort &) = delete;
+
+  void drain(std::function<void()> Done);
+
+private:
+  using ExchangePtr = std::shared_ptr<http::Exchange>;
+
+  void handle(http::Request Received, ExchangePtr Answer);
+  void handleAnnouncement(const http::Request &Received,
+                          http::Exchange &Answer);
+  void handleService(http::Request Received, const ExchangePtr &Answer);
+
+  const EntrySettings &Settings;
+  TargetPool &Pool;
+  RequestFlow &Flow;
+  RequestMetrics &Values;
+  Random Source;
+  http::Server Port;
+  bool Draining = false;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_SRC_ENTRY_CALLERPORT_H
