Add jobs, commitments and the record of what ran

Cause: shard owners and agents need one state machine for attempts, leases and claims, and operators need a record that can be verified.

Change: JobTable and its events with a MessagePack codec; AttemptLeases; ShardOwner, which appends decisions as one batch and releases messages only when durable and within the shard lease; CommitmentBook and RequestLedger for the agent; RunRecord with queries and verification. Orders carry the stamp of the agent's newest renewal, so that a delayed or repeated order expires.

--- /dev/null
+++ b/include/daisyspool/commitments/CommitmentBook.h
@@ -0,0 +1,133 @@
+#ifndef DAISYSPOOL_COMMITMENTS_COMMITMENTBOOK_H
+#define DAISYSPOOL_COMMITMENTS_COMMITMENTBOOK_H
+
+#include "daisyspool/commitments/Orders.h"
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace daisyspool {
+
+/// An attempt that a new agent process finds running on its worker.
+struct AdoptedAttempt {
+  ShardId Shard;
+  TaskId Task;
+  AttemptNumber Attempt;
+  Resources Need;
+  TimePoint Expiry;
+};
+
+/// The attempt is committed and may run until Expiry. If Replaced is set, that
+/// earlier attempt of the task must be stopped first.
+struct Committed {
+  TimePoint Expiry;
+  /// The attempt was held already; the order is a repeat.
+  bool Repeat = false;
+  std::optional<AttemptNumber> Replaced;
+};
+
+/// What the worker has to do after a renewal reply.
+struct LeaseChanges {
+  std::vector<TaskId> Renewed;
+  std::vector<TaskId> Stopped;
+  std::vector<TaskId> ToCheckpoint;
+};
+
+/// The agent's ledger of its VM, and the only place where the VM's resources
+/// are committed.
+///
+/// Schedulers may race or act on stale state: an order that does not fit, comes
+/// from a former owner or repeats an attempt is refused here. An attempt whose
+/// lease ends is suspended with its memory until the owner renews or discards
+/// it. See AttemptLeases for the owner's side.
+///
+/// Thread safety: one thread. Times are the agent's own.
+class CommitmentBook {
+public:
+  CommitmentBook(VmId Vm, Incarnation Self, Resources Capacity,
+                 Duration TaskLease);
+
+  /// Takes over what the previous agent process left on the worker.
+  /// Precondition: nothing has been committed yet.
+  void adopt(const std::vector<AdoptedAttempt> &Found);
+
+  /// Commits resources to an attempt, or refuses it for good.
+  std::variant<Committed, Refusal> commit(const StartOrder &Order,
+                                          TimePoint Now);
+
+  /// Releases the attempt, or bars it if it has not arrived yet. Returns
+  /// whether the order was obeyed; an order of a former owner is not.
+  bool stop(const StopOrder &Order, TimePoint Now);
+
+  /// Notes that the worker reports the attempt's end and frees its resources.
+  /// \p State is Finished or Failed.
+  void ended(const TaskId &Task, AttemptNumber Attempt, HeldState State,
+             int ExitCode);
+
+  /// Notes a checkpoint that is durable in the object store.
+  void checkpointed(const TaskId &Task, AttemptNumber Attempt,
+                    CheckpointId Checkpoint);
+
+  /// Suspends the attempts whose lease has ended, and returns them.
+  std::vector<TaskId> expire(TimePoint Now);
+
+  /// The request to send to the owner of \p Shard now.
+  RenewalRequest renewal(ShardId Shard, TimePoint Now) const;
+
+  /// Applies an owner's rulings; a reply of a former owner or to another
+  /// incarnation changes nothing.
+  LeaseChanges onReply(const RenewalReply &Reply, TimePoint Now);
+
+  /// When the attempt's lease ends, or nothing if it is not held and live.
+  std::optional<TimePoint> expiry(const TaskId &Task) const;
+
+  Resources committed() const { return Sum; }
+  const Resources &capacity() const { return Capacity; }
+  Incarnation incarnation() const { return Self; }
+
+private:
+  struct Held {
+    ShardId Shard;
+    AttemptNumber Attempt;
+    Resources Need;
+    HeldState State = HeldState::Running;
+    int ExitCode = 0;
+    CheckpointId Checkpoint;
+    std::uint64_t CheckpointNumber = 0;
+    TimePoint Expiry;
+  };
+
+  /// Attempts up to Last must not start. Kept for a task lease, after which the
+  /// grant of any such order has expired.
+  struct Bar {
+    AttemptNumber Last;
+    TimePoint Until;
+  };
+
+  static bool isLive(const Held &Entry) {
+    return Entry.State == HeldState::Running ||
+           Entry.State == HeldState::Suspended;
+  }
+  bool obeys(ShardId Shard, Epoch OwnerEpoch);
+  bool isBarred(const StartOrder &Order) const;
+  std::optional<Refusal> check(const StartOrder &Order, TimePoint Now) const;
+  void bar(const TaskId &Task, AttemptNumber Attempt, TimePoint Now);
+  void release(const TaskId &Task, TimePoint Now);
+  void applyRuling(const Ruling &One, TimePoint LeaseEnd, TimePoint Now,
+                   LeaseChanges &Changes);
+
+  VmId Vm;
+  Incarnation Self;
+  Resources Capacity;
+  Duration TaskLease;
+  Resources Sum;
+  std::map<TaskId, Held> Attempts;
+  std::map<TaskId, Bar> Bars;
+  std::map<ShardId, Epoch> Newest;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_COMMITMENTS_COMMITMENTBOOK_H
--- /dev/null
+++ b/include/daisyspool/jobs/Events.h
@@ -0,0 +1,155 @@
+#ifndef DAISYSPOOL_JOBS_EVENTS_H
+#define DAISYSPOOL_JOBS_EVENTS_H
+
+#include "daisyspool/commitments/Orders.h"
+#include "daisyspool/core/Errors.h"
+#include "daisyspool/wire/Adaptors.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisyspool {
+
+/// An event that does not follow from the events before it, or cannot be
+/// decoded.
+class InvalidEvent : public Error {
+  using Error::Error;
+};
+
+struct TaskSpec {
+  Resources Need;
+  std::string Command;
+
+  MSGPACK_DEFINE_ARRAY(Need, Command)
+};
+
+/// A caller's job. Its tasks are named `<job>/<index>`.
+struct JobSubmitted {
+  JobId Job;
+  CallerId Caller;
+  TeamId Team;
+  /// Attempts of a task that may fail or be lost while running.
+  std::uint32_t MaxAttempts = 1;
+  std::vector<TaskSpec> Tasks;
+  std::string BodyDigest;
+
+  MSGPACK_DEFINE_ARRAY(Job, Caller, Team, MaxAttempts, Tasks, BodyDigest)
+};
+
+struct AttemptIntended {
+  TaskId Task;
+  AttemptNumber Attempt;
+  VmId Vm;
+  Incarnation Agent;
+  CheckpointId ResumeFrom;
+
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Vm, Agent, ResumeFrom)
+};
+
+struct AttemptRunning {
+  TaskId Task;
+  AttemptNumber Attempt;
+
+  MSGPACK_DEFINE_ARRAY(Task, Attempt)
+};
+
+struct CheckpointTaken {
+  TaskId Task;
+  AttemptNumber Attempt;
+  CheckpointId Checkpoint;
+  std::uint64_t Number = 0;
+
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Checkpoint, Number)
+};
+
+/// Refused: the agent did not start the attempt and never will.
+enum class EndReason { Finished, Failed, Evicted, Lost, Cancelled, Refused };
+
+struct AttemptEnded {
+  TaskId Task;
+  AttemptNumber Attempt;
+  EndReason Reason = EndReason::Lost;
+
+  MSGPACK_DEFINE_ARRAY(Task, Attempt, Reason)
+};
+
+enum class TaskOutcome { Succeeded, AttemptsExhausted, Cancelled, Unrunnable };
+
+struct TaskEnded {
+  TaskId Task;
+  TaskOutcome Outcome = TaskOutcome::Succeeded;
+
+  MSGPACK_DEFINE_ARRAY(Task, Outcome)
+};
+
+struct JobCancelled {
+  JobId Job;
+  CallerId By;
+
+  MSGPACK_DEFINE_ARRAY(Job, By)
+};
+
+/// A non-idempotent request that may be dispatched once, under this grant.
+struct RequestClaimed {
+  RequestId Request;
+  CallerId Caller;
+  ServiceId Service;
+  std::string BodyDigest;
+  AgentGrant Grant;
+
+  MSGPACK_DEFINE_ARRAY(Request, Caller, Service, BodyDigest, Grant)
+};
+
+enum class RequestOutcome { Answered, NotRun, Unknown };
+
+struct RequestEnded {
+  RequestId Request;
+  RequestOutcome Outcome = RequestOutcome::Unknown;
+  int Status = 0;
+  std::string Body;
+
+  MSGPACK_DEFINE_ARRAY(Request, Outcome, Status, Body)
+};
+
+/// One short request, for the record.
+struct ServedRequest {
+  RequestId Request;
+  CallerId Caller;
+  ServiceId Service;
+  VmId Vm;
+  std::int64_t StartedAtMillis = 0;
+  std::int64_t MicrosTaken = 0;
+  int Status = 0;
+
+  MSGPACK_DEFINE_ARRAY(Request, Caller, Service, Vm, StartedAtMillis,
+                       MicrosTaken, Status)
+};
+
+struct RequestsServed {
+  std::vector<ServedRequest> Requests;
+
+  MSGPACK_DEFINE_ARRAY(Requests)
+};
+
+/// What a log holds. The order of the alternatives is part of the format: add
+/// new ones at the end.
+using Event =
+    std::variant<JobSubmitted, AttemptIntended, AttemptRunning, CheckpointTaken,
+                 AttemptEnded, TaskEnded, JobCancelled, RequestClaimed,
+                 RequestEnded, RequestsServed>;
+
+/// Encodes a batch as the body of a journal entry.
+std::string encodeEvents(const std::vector<Event> &Events);
+
+/// Throws InvalidEvent.
+std::vector<Event> decodeEvents(const std::string &Body);
+
+} // namespace daisyspool
+
+MSGPACK_ADD_ENUM(daisyspool::EndReason)
+MSGPACK_ADD_ENUM(daisyspool::TaskOutcome)
+MSGPACK_ADD_ENUM(daisyspool::RequestOutcome)
+
+#endif // DAISYSPOOL_JOBS_EVENTS_H
--- /dev/null
+++ b/include/daisyspool/journal/Lease.h
@@ -0,0 +1,19 @@
+#ifndef DAISYSPOOL_JOURNAL_LEASE_H
+#define DAISYSPOOL_JOURNAL_LEASE_H
+
+#include "daisyspool/core/Clock.h"
+
+namespace daisyspool {
+
+/// Time that a candidate waits for a lease of \p Lease to have ended on
+/// another clock.
+constexpr Duration takeoverWait(Duration Lease) { return Lease * 11 / 10; }
+
+/// Time for which a holder uses a lease of \p Lease. Two clocks that are 5%
+/// off in opposite directions differ by a factor of 1.105, more than the 1.1
+/// of takeoverWait, so that the holder stops 1% early.
+constexpr Duration holderTime(Duration Lease) { return Lease * 99 / 100; }
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_JOURNAL_LEASE_H
--- a/include/daisyspool/journal/ShardJournal.h
+++ b/include/daisyspool/journal/ShardJournal.h
@@ -3,6 +3,7 @@
 
 #include "daisyspool/core/Clock.h"
 #include "daisyspool/journal/Entry.h"
+#include "daisyspool/journal/Lease.h"
 #include "daisyspool/platform/ObjectStore.h"
 #include "daisyspool/platform/TableService.h"
 
@@ -18,15 +19,6 @@
   std::uint64_t EntriesPerSnapshot = 500;
 };
 
-/// Time that a candidate waits for a lease of \p Lease to have ended on
-/// another clock.
-constexpr Duration takeoverWait(Duration Lease) { return Lease * 11 / 10; }
-
-/// Time for which a holder uses a lease of \p Lease. Two clocks that are 5%
-/// off in opposite directions differ by a factor of 1.105, more than the 1.1
-/// of takeoverWait, so that the holder stops 1% early.
-constexpr Duration holderTime(Duration Lease) { return Lease * 99 / 100; }
-
 /// What replay found: the newest usable snapshot and the entries after it.
 struct Replay {
   std::optional<std::string> Snapshot;
--- /dev/null
+++ b/src/commitments/CommitmentBook.cpp
@@ -0,0 +1,226 @@
+#include "daisyspool/commitments/CommitmentBook.h"
+
+#include "daisyspool/journal/Lease.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace daisyspool {
+
+namespace {
+
+bool isNegative(const Resources &Need) {
+  return Need.Cpu < MilliCores(0) || Need.Memory < MebiBytes(0) ||
+         Need.Accelerator < Accelerators(0);
+}
+
+} // namespace
+
+CommitmentBook::CommitmentBook(VmId Vm, Incarnation Self, Resources Capacity,
+                               Duration TaskLease)
+    : Vm(std::move(Vm)), Self(Self), Capacity(Capacity), TaskLease(TaskLease) {}
+
+void CommitmentBook::adopt(const std::vector<AdoptedAttempt> &Found) {
+  assert(Attempts.empty());
+  for (const AdoptedAttempt &One : Found) {
+    Held Entry;
+    Entry.Shard = One.Shard;
+    Entry.Attempt = One.Attempt;
+    Entry.Need = One.Need;
+    Entry.Expiry = One.Expiry;
+    Attempts[One.Task] = Entry;
+    Sum = Sum + One.Need;
+  }
+}
+
+bool CommitmentBook::obeys(ShardId Shard, Epoch OwnerEpoch) {
+  Epoch &Known = Newest[Shard];
+  if (OwnerEpoch < Known)
+    return false;
+
+  Known = OwnerEpoch;
+  return true;
+}
+
+bool CommitmentBook::isBarred(const StartOrder &Order) const {
+  auto Found = Bars.find(Order.Task);
+  return Found != Bars.end() && Order.Attempt <= Found->second.Last;
+}
+
+std::optional<Refusal> CommitmentBook::check(const StartOrder &Order,
+                                             TimePoint Now) const {
+  if (isBarred(Order))
+    return Refusal::AttemptOver;
+  if (Order.Grant.Agent != Self || Order.Grant.Vm != Vm)
+    return Refusal::OtherIncarnation;
+
+  const TimePoint Stamp(Order.Grant.Stamp);
+  if (Stamp > Now || Now >= Stamp + holderTime(TaskLease))
+    return Refusal::StaleGrant;
+
+  Resources Free = Capacity - Sum;
+  auto Older = Attempts.find(Order.Task);
+  if (Older != Attempts.end() && isLive(Older->second))
+    Free = Free + Older->second.Need;
+  if (isNegative(Order.Need) || !Order.Need.fitsIn(Free))
+    return Refusal::NoRoom;
+  return std::nullopt;
+}
+
+std::variant<Committed, Refusal> CommitmentBook::commit(const StartOrder &Order,
+                                                        TimePoint Now) {
+  if (!obeys(Order.Shard, Order.OwnerEpoch))
+    return Refusal::StaleEpoch;
+
+  auto Existing = Attempts.find(Order.Task);
+  if (Existing != Attempts.end()) {
+    if (Existing->second.Attempt == Order.Attempt)
+      return Committed{Existing->second.Expiry, true, std::nullopt};
+    if (Existing->second.Attempt > Order.Attempt)
+      return Refusal::AttemptOver;
+  }
+
+  if (std::optional<Refusal> Reason = check(Order, Now)) {
+    // A repeat of a refused order must not start the attempt when there is
+    // room, because the owner has placed the task elsewhere by then.
+    bar(Order.Task, Order.Attempt, Now);
+    return *Reason;
+  }
+
+  Committed Result;
+  Result.Expiry = TimePoint(Order.Grant.Stamp) + holderTime(TaskLease);
+  if (Existing != Attempts.end()) {
+    Result.Replaced = Existing->second.Attempt;
+    release(Order.Task, Now);
+  }
+
+  Held Entry;
+  Entry.Shard = Order.Shard;
+  Entry.Attempt = Order.Attempt;
+  Entry.Need = Order.Need;
+  Entry.Expiry = Result.Expiry;
+  Attempts[Order.Task] = Entry;
+  Sum = Sum + Order.Need;
+  return Result;
+}
+
+void CommitmentBook::bar(const TaskId &Task, AttemptNumber Attempt,
+                         TimePoint Now) {
+  Bar &Entry = Bars[Task];
+  Entry.Last = std::max(Entry.Last, Attempt);
+  Entry.Until = Now + TaskLease;
+}
+
+void CommitmentBook::release(const TaskId &Task, TimePoint Now) {
+  auto Found = Attempts.find(Task);
+  if (isLive(Found->second))
+    Sum = Sum - Found->second.Need;
+  bar(Task, Found->second.Attempt, Now);
+  Attempts.erase(Found);
+}
+
+bool CommitmentBook::stop(const StopOrder &Order, TimePoint Now) {
+  if (!obeys(Order.Shard, Order.OwnerEpoch))
+    return false;
+
+  auto Found = Attempts.find(Order.Task);
+  if (Found != Attempts.end() && Found->second.Attempt <= Order.Attempt)
+    release(Order.Task, Now);
+  bar(Order.Task, Order.Attempt, Now);
+  return true;
+}
+
+void CommitmentBook::ended(const TaskId &Task, AttemptNumber Attempt,
+                           HeldState State, int ExitCode) {
+  assert(State == HeldState::Finished || State == HeldState::Failed);
+  auto Found = Attempts.find(Task);
+  if (Found == Attempts.end() || Found->second.Attempt != Attempt ||
+      !isLive(Found->second))
+    return;
+
+  Sum = Sum - Found->second.Need;
+  Found->second.State = State;
+  Found->second.ExitCode = ExitCode;
+}
+
+void CommitmentBook::checkpointed(const TaskId &Task, AttemptNumber Attempt,
+                                  CheckpointId Checkpoint) {
+  auto Found = Attempts.find(Task);
+  if (Found == Attempts.end() || Found->second.Attempt != Attempt)
+    return;
+
+  Found->second.Checkpoint = std::move(Checkpoint);
+  ++Found->second.CheckpointNumber;
+}
+
+std::vector<TaskId> CommitmentBook::expire(TimePoint Now) {
+  std::vector<TaskId> Suspended;
+  for (auto &[Task, Entry] : Attempts) {
+    if (Entry.State != HeldState::Running || Now < Entry.Expiry)
+      continue;
+
+    Entry.State = HeldState::Suspended;
+    Suspended.push_back(Task);
+  }
+
+  std::erase_if(Bars,
+                [Now](const auto &Each) { return Now >= Each.second.Until; });
+  return Suspended;
+}
+
+RenewalRequest CommitmentBook::renewal(ShardId Shard, TimePoint Now) const {
+  RenewalRequest Request{Shard, {Vm, Self, Now.time_since_epoch()}, {}};
+  for (const auto &[Task, Entry] : Attempts)
+    if (Entry.Shard == Shard)
+      Request.Held.push_back({Task, Entry.Attempt, Entry.State, Entry.ExitCode,
+                              Entry.Checkpoint, Entry.CheckpointNumber});
+  return Request;
+}
+
+LeaseChanges CommitmentBook::onReply(const RenewalReply &Reply, TimePoint Now) {
+  LeaseChanges Changes;
+  if (Reply.Sender.Agent != Self || Reply.Sender.Vm != Vm ||
+      !obeys(Reply.Shard, Reply.OwnerEpoch))
+    return Changes;
+
+  // The lease counts from the sending of the request, so that a late reply
+  // does not extend it beyond the owner's wait.
+  const TimePoint LeaseEnd =
+      TimePoint(Reply.Sender.Stamp) + holderTime(TaskLease);
+  for (const Ruling &One : Reply.Rulings)
+    applyRuling(One, LeaseEnd, Now, Changes);
+  return Changes;
+}
+
+void CommitmentBook::applyRuling(const Ruling &One, TimePoint LeaseEnd,
+                                 TimePoint Now, LeaseChanges &Changes) {
+  auto Found = Attempts.find(One.Task);
+  if (Found == Attempts.end() || Found->second.Attempt != One.Attempt)
+    return;
+
+  if (One.Decision == Verdict::Stop) {
+    release(One.Task, Now);
+    Changes.Stopped.push_back(One.Task);
+    return;
+  }
+
+  Held &Entry = Found->second;
+  if (!isLive(Entry) || LeaseEnd <= Now)
+    return;
+
+  Entry.Expiry = std::max(Entry.Expiry, LeaseEnd);
+  Entry.State = HeldState::Running;
+  Changes.Renewed.push_back(One.Task);
+  if (One.Decision == Verdict::Checkpoint)
+    Changes.ToCheckpoint.push_back(One.Task);
+}
+
+std::optional<TimePoint> CommitmentBook::expiry(const TaskId &Task) const {
+  auto Found = Attempts.find(Task);
+  if (Found == Attempts.end() || !isLive(Found->second))
+    return std::nullopt;
+
+  return Found->second.Expiry;
+}
+
+} // namespace daisyspool
--- /dev/null
+++ b/src/jobs/ShardOwner.cpp
@@ -0,0 +1,497 @@
+#include "daisyspool/jobs/ShardOwner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisyspool {
+
+namespace {
+
+/// Sequence numbers kept for each entry; older ones count as handled.
+constexpr std::size_t ForwardWindow = 4096;
+
+constexpr std::uint32_t MaxBackoffDoublings = 10;
+
+} // namespace
+
+ShardOwner::ShardOwner(ShardId Shard, ShardJournal &Journal, const Clock &Time,
+                       std::uint64_t Seed, ShardOwnerSettings Settings)
+    : Shard(Shard), Journal(Journal), Time(Time), Jitter(Seed),
+      Settings(Settings), Leases(Settings.TaskLease) {}
+
+bool ShardOwner::accepts() const {
+  return Replayed && Journal.mayAct() && !Journal.hasPending();
+}
+
+std::vector<Action> ShardOwner::step() {
+  if (Time.now() >= RetryAt) {
+    try {
+      if (takeOver() && replay())
+        persist();
+    } catch (const FencedOff &) {
+      reset();
+    } catch (const PlatformThrottled &) {
+      backOff();
+    } catch (const PlatformUnavailable &) {
+      backOff();
+    }
+  }
+
+  // After a lapse no agent could renew, so that each gets a full wait to
+  // continue its suspended tasks before they count as lost.
+  const bool Valid = Replayed && Journal.mayAct();
+  if (Valid && !Acting)
+    Leases.tookOver(Time.now());
+  Acting = Valid;
+
+  if (accepts())
+    repeatOrders();
+  return release();
+}
+
+bool ShardOwner::takeOver() {
+  if (Journal.owns())
+    return true;
+
+  const TimePoint Now = Time.now();
+  if (LastObserve && Now - *LastObserve < Settings.ObserveEvery)
+    return false;
+
+  LastObserve = Now;
+  return Journal.observe();
+}
+
+bool ShardOwner::replay() {
+  if (Replayed)
+    return true;
+
+  Replay Found = Journal.replay();
+  JobTable Fresh;
+  if (Found.Snapshot)
+    Fresh.restore(*Found.Snapshot);
+  for (const JournalEntry &Entry : Found.Entries)
+    for (const Event &Each : decodeEvents(Entry.Body))
+      Fresh.apply(Each);
+
+  Table = std::move(Fresh);
+  const TimePoint Now = Time.now();
+  for (const RequestId &Request : Table.unsettled())
+    Claims[Request] = {Now, Now - Settings.QueryEvery, {}};
+  Replayed = true;
+  return true;
+}
+
+void ShardOwner::persist() {
+  if (!Journal.settle())
+    return backOff();
+
+  DurableBatch = NextBatch - 1;
+  const TimePoint Now = Time.now();
+  if (!Batch.empty() &&
+      (!LastAppend || Now - *LastAppend >= Settings.AppendEvery))
+    appendBatch();
+
+  if (!Journal.hasPending() && Batch.empty() && Journal.wantsSnapshot())
+    Journal.saveSnapshot(Table.snapshot());
+  if (!Journal.hasPending())
+    Journal.renewIfDue();
+  if (Journal.hasPending())
+    return backOff();
+
+  DurableBatch = NextBatch - 1;
+  FailedCalls = 0;
+}
+
+void ShardOwner::appendBatch() {
+  std::size_t Count = 0;
+  std::size_t Bytes = 0;
+  for (const Event &Each : Batch) {
+    Bytes += encodeEvents({Each}).size();
+    if (Count != 0 && Bytes > MaxBatchBytes)
+      break;
+    ++Count;
+  }
+
+  const auto End = Batch.begin() + static_cast<std::ptrdiff_t>(Count);
+  std::vector<Event> First(Batch.begin(), End);
+  Batch.erase(Batch.begin(), End);
+  if (!Batch.empty())
+    for (Held &Each : Outbox)
+      if (Each.Needs == NextBatch)
+        ++Each.Needs;
+
+  ++NextBatch;
+  LastAppend = Time.now();
+  Journal.append(encodeEvents(First));
+}
+
+void ShardOwner::reset() {
+  Table = JobTable();
+  Replayed = false;
+  Batch.clear();
+  NextBatch = 1;
+  DurableBatch = 0;
+  Outbox.clear();
+  Grants.clear();
+  StartGrants.clear();
+  Evicting.clear();
+  Claims.clear();
+}
+
+void ShardOwner::backOff() {
+  FailedCalls = std::min(FailedCalls + 1, MaxBackoffDoublings);
+  const Duration Limit = std::min<Duration>(
+      Settings.BackoffCap, Settings.BackoffBase * (1LL << FailedCalls));
+  RetryAt = Time.now() + Duration(static_cast<Duration::rep>(Jitter.below(
+                             static_cast<std::uint64_t>(Limit.count()))));
+}
+
+void ShardOwner::record(const std::vector<Event> &Events) {
+  for (const Event &Each : Events) {
+    Table.apply(Each);
+    Batch.push_back(Each);
+  }
+}
+
+void ShardOwner::emit(Action Message) {
+  const std::uint64_t Needs = Batch.empty() ? NextBatch - 1 : NextBatch;
+  Outbox.push_back({std::move(Message), Needs});
+}
+
+void ShardOwner::answer(const CallerRef &To, AnswerKind Kind) {
+  emit(CallerAnswer{To, Kind, 0, {}});
+}
+
+void ShardOwner::refuse(const CallerRef &To) {
+  Refusals.emplace_back(CallerAnswer{To, AnswerKind::NotRun, 0, {}});
+}
+
+std::vector<Action> ShardOwner::release() {
+  std::vector<Action> Result = std::exchange(Refusals, {});
+  if (!Acting)
+    return Result;
+
+  while (!Outbox.empty() && Outbox.front().Needs <= DurableBatch) {
+    Action Message = std::move(Outbox.front().Message);
+    Outbox.pop_front();
+    if (std::visit([this](auto &One) { return stillValid(One); }, Message))
+      Result.push_back(std::move(Message));
+  }
+  return Result;
+}
+
+bool ShardOwner::stillValid(StartOrder &Order) {
+  if (!Table.isCurrent(Order.Task, Order.Attempt))
+    return false;
+
+  Leases.granted(Order.Task, Time.now());
+  return true;
+}
+
+bool ShardOwner::stillValid(RenewalReply &Reply) {
+  // An attempt may have been given up while the reply waited for the store.
+  std::erase_if(Reply.Rulings, [this](const Ruling &One) {
+    return One.Decision != Verdict::Stop &&
+           !Table.isCurrent(One.Task, One.Attempt);
+  });
+  for (const Ruling &One : Reply.Rulings)
+    if (One.Decision != Verdict::Stop)
+      Leases.granted(One.Task, Time.now());
+  return true;
+}
+
+bool ShardOwner::stillValid(RunOrder &Order) {
+  return Table.unsettled().count(Order.Request) != 0;
+}
+
+bool ShardOwner::isRepeat(const CallerRef &From) {
+  SeenForwards &Seen = Forwards[From.Entry];
+  if (From.Sequence <= Seen.Floor || !Seen.Above.insert(From.Sequence).second)
+    return true;
+
+  if (Seen.Above.size() > ForwardWindow) {
+    Seen.Floor = *Seen.Above.begin();
+    Seen.Above.erase(Seen.Above.begin());
+  }
+  return false;
+}
+
+void ShardOwner::submit(const SubmitForward &Message) {
+  if (isRepeat(Message.From))
+    return;
+  if (!accepts())
+    return refuse(Message.From);
+  if (encodeEvents({Message.Job}).size() > MaxBatchBytes)
+    return answer(Message.From, AnswerKind::TooLarge);
+
+  const Decision Result = Table.submit(Message.Job);
+  if (std::holds_alternative<Conflict>(Result))
+    return answer(Message.From, AnswerKind::Conflict);
+
+  if (const auto *New = std::get_if<Proceed>(&Result))
+    record(New->Events);
+  answer(Message.From, AnswerKind::Accepted);
+}
+
+void ShardOwner::cancel(const CancelForward &Message) {
+  if (isRepeat(Message.From))
+    return;
+  if (!accepts())
+    return refuse(Message.From);
+
+  const Decision Result = Table.cancel(Message.Job, Message.By);
+  if (std::holds_alternative<Conflict>(Result))
+    return answer(Message.From, AnswerKind::Conflict);
+  if (std::holds_alternative<NotFound>(Result))
+    return answer(Message.From, AnswerKind::NotFound);
+
+  if (const auto *New = std::get_if<Proceed>(&Result))
+    record(New->Events);
+  answer(Message.From, AnswerKind::Accepted);
+}
+
+void ShardOwner::claim(const ClaimForward &Message,
+                       const std::optional<AgentGrant> &Grant) {
+  if (isRepeat(Message.From))
+    return;
+
+  const RequestClaimed Claim{Message.Request, Message.Caller, Message.Service,
+                             sha256(Message.Body),
+                             Grant.value_or(AgentGrant{})};
+  const Decision Result = Table.claim(Claim);
+  if (std::holds_alternative<Conflict>(Result))
+    return answer(Message.From, AnswerKind::Conflict);
+  if (std::holds_alternative<AlreadyDone>(Result))
+    return addWaiter(Message.From, Message.Request);
+
+  if (!accepts() || !Grant)
+    return refuse(Message.From);
+
+  record({Claim});
+  const TimePoint Now = Time.now();
+  Claims[Message.Request] = {Now, Now, {Message.From}};
+  emit(RunOrder{Shard, Message.Request, *Grant, Message.Service, Message.Body});
+}
+
+void ShardOwner::addWaiter(const CallerRef &From, const RequestId &Request) {
+  const RequestState &Known = *Table.request(Request);
+  if (Known.Settled)
+    return answerSettled(From, Known.End);
+
+  Claims.at(Request).Waiters.push_back(From);
+}
+
+void ShardOwner::answerSettled(const CallerRef &To, const RequestEnded &End) {
+  switch (End.Outcome) {
+  case RequestOutcome::Answered:
+    return emit(CallerAnswer{To, AnswerKind::Answered, End.Status, End.Body});
+  case RequestOutcome::NotRun:
+    return answer(To, AnswerKind::NotRun);
+  case RequestOutcome::Unknown:
+    return answer(To, AnswerKind::Unknown);
+  }
+}
+
+void ShardOwner::settle(const RequestEnded &End) {
+  const std::vector<Event> Events = Table.settle(End);
+  if (Events.empty())
+    return;
+
+  record(Events);
+  for (const CallerRef &Waiter : Claims.at(End.Request).Waiters)
+    answerSettled(Waiter, End);
+  Claims.erase(End.Request);
+}
+
+bool ShardOwner::start(const TaskId &Task, const AgentGrant &Grant) {
+  if (!accepts() || Table.waiting().count(Task) == 0)
+    return false;
+
+  record(Table.intend(Task, Grant.Vm, Grant.Agent));
+  StartGrants[Task] = Grant;
+  Leases.granted(Task, Time.now());
+  const TaskState &State = *Table.task(Task);
+  emit(StartOrder{Shard, Journal.epoch(), Task, State.Attempt, Grant,
+                  State.Spec.Need, State.Spec.Command, State.Checkpoint});
+  return true;
+}
+
+bool ShardOwner::evict(const TaskId &Task) {
+  if (!accepts() || !Table.mayEvict(Task))
+    return false;
+
+  Evicting.emplace(Task, Table.task(Task)->CheckpointNumber);
+  return true;
+}
+
+bool ShardOwner::evictionIsReady(const TaskId &Task) const {
+  auto Found = Evicting.find(Task);
+  return Found != Evicting.end() &&
+         Table.task(Task)->CheckpointNumber > Found->second;
+}
+
+bool ShardOwner::isCancelled(const TaskId &Task) const {
+  return Table.job(Table.task(Task)->Job)->Cancelled;
+}
+
+void ShardOwner::finishAttempt(const TaskId &Task, AttemptNumber Attempt,
+                               EndReason Reason) {
+  const std::vector<Event> Events = Table.endAttempt(Task, Attempt, Reason);
+  if (Events.empty())
+    return;
+
+  record(Events);
+  Leases.forget(Task);
+  StartGrants.erase(Task);
+  Evicting.erase(Task);
+}
+
+void ShardOwner::onRenewal(const RenewalRequest &Request) {
+  if (!Replayed || Request.Shard != Shard)
+    return;
+
+  // A delayed request shows an older state of the agent.
+  auto Known = Grants.find(Request.Sender.Vm);
+  if (Known != Grants.end() &&
+      std::pair(Request.Sender.Agent, Request.Sender.Stamp) <=
+          std::pair(Known->second.Agent, Known->second.Stamp))
+    return;
+
+  Grants[Request.Sender.Vm] = Request.Sender;
+  RenewalReply Reply{Shard, Journal.epoch(), Request.Sender, {}};
+  for (const HeldAttempt &Held : Request.Held) {
+    const Verdict Decision = rule(Held);
+    if (Decision != Verdict::Stop)
+      Leases.granted(Held.Task, Time.now());
+    Reply.Rulings.push_back({Held.Task, Held.Attempt, Decision});
+  }
+  emit(std::move(Reply));
+}
+
+Verdict ShardOwner::rule(const HeldAttempt &Held) {
+  if (!Table.isCurrent(Held.Task, Held.Attempt))
+    return Verdict::Stop;
+
+  const TaskState &State = *Table.task(Held.Task);
+  if (State.Phase == TaskPhase::Intended)
+    record({AttemptRunning{Held.Task, Held.Attempt}});
+  if (Held.CheckpointNumber > State.CheckpointNumber)
+    record({CheckpointTaken{Held.Task, Held.Attempt, Held.Checkpoint,
+                            Held.CheckpointNumber}});
+
+  if (Held.State == HeldState::Finished || Held.State == HeldState::Failed) {
+    finishAttempt(Held.Task, Held.Attempt,
+                  Held.State == HeldState::Finished ? EndReason::Finished
+                                                    : EndReason::Failed);
+    return Verdict::Stop;
+  }
+
+  const bool WantsCheckpoint =
+      Evicting.count(Held.Task) != 0 && !evictionIsReady(Held.Task);
+  return WantsCheckpoint ? Verdict::Checkpoint : Verdict::Keep;
+}
+
+void ShardOwner::onStartReply(const StartReply &Reply) {
+  if (!Replayed || Reply.Shard != Shard ||
+      !Table.isCurrent(Reply.Task, Reply.Attempt))
+    return;
+
+  const TaskState &State = *Table.task(Reply.Task);
+  if (Reply.Vm != State.Vm)
+    return;
+  if (!Reply.Accepted) {
+    // Only a newer owner's agent answers so; the next append is fenced.
+    if (Reply.Reason != Refusal::StaleEpoch)
+      finishAttempt(Reply.Task, Reply.Attempt, EndReason::Refused);
+    return;
+  }
+  if (State.Phase == TaskPhase::Intended)
+    record({AttemptRunning{Reply.Task, Reply.Attempt}});
+}
+
+void ShardOwner::onStopReply(const StopReply &Reply) {
+  if (!Replayed || Reply.Shard != Shard ||
+      !Table.isCurrent(Reply.Task, Reply.Attempt) ||
+      Reply.Vm != Table.task(Reply.Task)->Vm)
+    return;
+
+  // Without a cancellation the order was an eviction, here or by a former
+  // owner.
+  finishAttempt(Reply.Task, Reply.Attempt,
+                isCancelled(Reply.Task) ? EndReason::Cancelled
+                                        : EndReason::Evicted);
+}
+
+void ShardOwner::onRequestReport(const RequestReport &Report) {
+  if (!Replayed || Report.Shard != Shard ||
+      Table.unsettled().count(Report.Request) == 0)
+    return;
+
+  const RequestClaimed &Claim = Table.request(Report.Request)->Claim;
+  if (Report.Agent != Claim.Grant.Agent || Report.State == RunState::Unknown)
+    return settle({Report.Request, RequestOutcome::Unknown, 0, {}});
+
+  switch (Report.State) {
+  case RunState::Running:
+    Claims.at(Report.Request).LastHeard = Time.now();
+    return;
+  case RunState::Answered:
+    return settle(
+        {Report.Request, RequestOutcome::Answered, Report.Status, Report.Body});
+  case RunState::NotRun:
+    return settle({Report.Request, RequestOutcome::NotRun, 0, {}});
+  case RunState::Unknown:
+    return;
+  }
+}
+
+void ShardOwner::repeatOrders() {
+  const TimePoint Now = Time.now();
+  if (LastRepeat && Now - *LastRepeat < Settings.RepeatEvery)
+    return;
+
+  LastRepeat = Now;
+  const std::set<TaskId> Live = Table.live();
+  for (const TaskId &Task : Live)
+    repeatTaskOrders(Task);
+
+  const std::set<RequestId> Unsettled = Table.unsettled();
+  for (const RequestId &Request : Unsettled)
+    chaseClaim(Request);
+}
+
+void ShardOwner::repeatTaskOrders(const TaskId &Task) {
+  const TaskState &State = *Table.task(Task);
+  if (Leases.hasLapsed(Task, Time.now()))
+    return finishAttempt(Task, State.Attempt, EndReason::Lost);
+
+  if (isCancelled(Task) || evictionIsReady(Task))
+    return emit(
+        StopOrder{Shard, Journal.epoch(), Task, State.Attempt, State.Vm});
+
+  // The repeat carries the first grant, so that it expires with it.
+  auto Grant = StartGrants.find(Task);
+  if (State.Phase == TaskPhase::Intended && Grant != StartGrants.end())
+    emit(StartOrder{Shard, Journal.epoch(), Task, State.Attempt, Grant->second,
+                    State.Spec.Need, State.Spec.Command, State.Checkpoint});
+}
+
+void ShardOwner::chaseClaim(const RequestId &Request) {
+  const AgentGrant &Grant = Table.request(Request)->Claim.Grant;
+  ClaimProgress &Progress = Claims.at(Request);
+  const TimePoint Now = Time.now();
+
+  auto Known = Grants.find(Grant.Vm);
+  const bool AgentGone =
+      Known != Grants.end() && Known->second.Agent > Grant.Agent;
+  if (AgentGone || Now - Progress.LastHeard >= Settings.SettleLimit)
+    return settle({Request, RequestOutcome::Unknown, 0, {}});
+
+  if (Now - Progress.LastAsked < Settings.QueryEvery)
+    return;
+
+  Progress.LastAsked = Now;
+  emit(QueryOrder{Shard, Request, Grant});
+}
+
+} // namespace daisyspool
