--- /dev/null
+++ b/include/daisyspool/platform/BlockingClient.h
@@ -0,0 +1,39 @@
+#ifndef DAISYSPOOL_PLATFORM_BLOCKINGCLIENT_H
+#define DAISYSPOOL_PLATFORM_BLOCKINGCLIENT_H
+
+#include "daisyspool/http/Client.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace daisyspool {
+
+/// HTTP calls to one endpoint from a thread that may block, on connections
+/// that are kept alive.
+///
+/// A connection whose answer is late or malformed is closed and never used
+/// again. No call is repeated here. For a thread with an I/O context use
+/// http::Client.
+///
+/// Thread safety: one thread per instance.
+class BlockingClient {
+public:
+  explicit BlockingClient(http::Endpoint Server);
+  BlockingClient(const BlockingClient &) = delete;
+  BlockingClient &operator=(const BlockingClient &) = delete;
+
+  /// Sends \p What and waits for the answer. \p Timeout bounds connecting,
+  /// sending and receiving together. Throws http::ClientError.
+  http::Response exchange(http::Request What, Millis Timeout);
+
+  /// The value of the Host header of every request.
+  const std::string &host() const { return Host; }
+
+private:
+  std::string Host;
+  boost::asio::io_context Io{1};
+  http::Client Connections;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_PLATFORM_BLOCKINGCLIENT_H
--- /dev/null
+++ b/tests/support/StandinThread.h
@@ -0,0 +1,65 @@
+#ifndef DAISYSPOOL_TESTS_SUPPORT_STANDINTHREAD_H
+#define DAISYSPOOL_TESTS_SUPPORT_STANDINTHREAD_H
+
+#include "daisyspool/http/Client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace daisyspool {
+
+/// Bound for calls that are expected to succeed; only a hung test reaches it.
+inline constexpr Millis AmpleTime{10000};
+
+/// Runs a stand-in on a thread of its own until the end of the test.
+template <typename Standin> class StandinThread {
+public:
+  template <typename... Arguments>
+  explicit StandinThread(Arguments &&...Options)
+      : Served(
+            std::make_unique<Standin>(Io, std::forward<Arguments>(Options)...)),
+        Runner([this] { Io.run(); }) {}
+  StandinThread(const StandinThread &) = delete;
+  StandinThread &operator=(const StandinThread &) = delete;
+  ~StandinThread() {
+    Io.stop();
+    Runner.join();
+  }
+
+  /// Only for methods that are safe while the stand-in runs.
+  const Standin &operator*() const { return *Served; }
+  const Standin *operator->() const { return Served.get(); }
+
+private:
+  boost::asio::io_context Io{1};
+  std::unique_ptr<Standin> Served;
+  std::thread Runner;
+};
+
+/// Makes a control call to a stand-in and returns its answer. Throws if the
+/// stand-in refuses the call.
+inline nlohmann::json control(const http::Endpoint &Where,
+                              const std::string &Path,
+                              const nlohmann::json &Change) {
+  http::Response Answer = http::exchangeBlocking(
+      Where, {"POST", Path, {}, Change.dump()}, AmpleTime);
+  if (Answer.Status != 200)
+    throw std::runtime_error(Answer.Body);
+
+  return nlohmann::json::parse(Answer.Body);
+}
+
+inline nlohmann::json switchFaults(const http::Endpoint &Where,
+                                   const nlohmann::json &Change) {
+  return control(Where, "/standin/faults", Change);
+}
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_TESTS_SUPPORT_STANDINTHREAD_H
