Add the worker interface, its HTTP adapter and the worker stand-in

Cause: an agent runs, checkpoints, throttles and stops batch tasks on its VM, and no task may run on after its lease when calls arrive late. Change: Worker and HttpWorker, which sends leases as instants of the worker's own clock; a stand-in with fake tasks and switchable faults; FakeWorker for tests under virtual time. Conclusion: a start that reaches the worker after its lease is refused.

--- /dev/null
+++ b/src/worker/Worker.cpp
@@ -0,0 +1,74 @@
+#include "daisyspool/worker/Worker.h"
+
+namespace daisyspool {
+
+namespace {
+
+constexpr TaskPhase Phases[] = {TaskPhase::Running, TaskPhase::Suspended,
+                                TaskPhase::Finished, TaskPhase::Failed,
+                                TaskPhase::Stopped};
+
+using Reason = WorkerRefused::Reason;
+constexpr Reason Reasons[] = {Reason::NoRoom,       Reason::UnknownTask,
+                              Reason::AttemptEnded, Reason::AnotherAttempt,
+                              Reason::LeaseLapsed,  Reason::UnknownCheckpoint,
+                              Reason::UnknownClock};
+
+template <typename Enum, std::size_t Count>
+std::optional<Enum> parse(const Enum (&Values)[Count],
+                          const std::string &Text) {
+  for (Enum Value : Values)
+    if (Text == toString(Value))
+      return Value;
+
+  return std::nullopt;
+}
+
+} // namespace
+
+const char *toString(TaskPhase Phase) {
+  switch (Phase) {
+  case TaskPhase::Running:
+    return "running";
+  case TaskPhase::Suspended:
+    return "suspended";
+  case TaskPhase::Finished:
+    return "finished";
+  case TaskPhase::Failed:
+    return "failed";
+  case TaskPhase::Stopped:
+    return "stopped";
+  }
+  return "unknown";
+}
+
+const char *toString(WorkerRefused::Reason Why) {
+  switch (Why) {
+  case Reason::NoRoom:
+    return "no-room";
+  case Reason::UnknownTask:
+    return "unknown-task";
+  case Reason::AttemptEnded:
+    return "attempt-ended";
+  case Reason::AnotherAttempt:
+    return "another-attempt";
+  case Reason::LeaseLapsed:
+    return "lease-lapsed";
+  case Reason::UnknownCheckpoint:
+    return "unknown-checkpoint";
+  case Reason::UnknownClock:
+    return "unknown-clock";
+  }
+  return "unknown";
+}
+
+std::optional<TaskPhase> parseTaskPhase(const std::string &Text) {
+  return parse(Phases, Text);
+}
+
+std::optional<WorkerRefused::Reason>
+parseWorkerRefusal(const std::string &Text) {
+  return parse(Reasons, Text);
+}
+
+} // namespace daisyspool
--- a/standins/PlatformStandin.h
+++ b/standins/PlatformStandin.h
@@ -7,14 +7,10 @@
 #include "daisyspool/http/Server.h"
 #include "daisyspool/platform/SignatureV4.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <cstdint>
-#include <list>
 #include <map>
 #include <optional>
-#include <set>
 #include <sstream>
 
 namespace daisyspool {
@@ -66,7 +62,7 @@
   };
 
   PlatformStandin(boost::asio::io_context &Io, Options Config)
-      : Io(Io), Config(std::move(Config)), Chance(this->Config.Seed),
+      : Config(std::move(Config)), Chance(this->Config.Seed), Held(Io),
         Port(
             Io, serverOptions(this->Config.Listen),
             [this](http::Request What, std::shared_ptr<http::Exchange> Answer) {
@@ -85,12 +81,6 @@
     std::vector<http::Header> Metadata;
   };
 
-  struct Waiting {
-    boost::asio::steady_timer Timer;
-    http::Request What;
-    Answerer Answer;
-  };
-
   /// Tokens for one kind of call, refilled to one second's worth.
   struct Rate {
     double Tokens = 0;
@@ -130,7 +120,7 @@
     if (handleFaults(What, *Answer, Faults)) {
       // Calls that hang end with the outage, as if the service had restarted.
       if (Faults.Outage != "hang")
-        Hanging.clear();
+        Held.dropHanging();
       return;
     }
     if (What.Target == "/standin/stats")
@@ -138,22 +128,15 @@
     if (Faults.SlowMs <= 0)
       return serve(What, std::move(Answer));
 
-    auto Entry = Delayed.insert(Delayed.end(),
-                                Waiting{boost::asio::steady_timer(Io),
-                                        std::move(What), std::move(Answer)});
-    Entry->Timer.expires_after(Millis(Faults.SlowMs));
-    Entry->Timer.async_wait([this, Entry](boost::system::error_code Failure) {
-      if (Failure)
-        return;
-      Waiting Due = std::move(*Entry);
-      Delayed.erase(Entry);
-      serve(Due.What, std::move(Due.Answer));
-    });
+    Held.delay(Millis(Faults.SlowMs), std::move(What), std::move(Answer),
+               [this](const http::Request &Due, Answerer To) {
+                 serve(Due, std::move(To));
+               });
   }
 
   void serve(const http::Request &What, Answerer Answer) {
     if (Faults.Outage == "hang") {
-      hang(std::move(Answer));
+      Held.hang(std::move(Answer));
       return;
     }
     if (Faults.Outage == "refuse")
@@ -181,15 +164,6 @@
     Answer->respond(std::move(Result));
   }
 
-  void hang(Answerer Answer) {
-    http::Exchange *Which = Answer.get();
-    Answer->onCallerLeft([this, Which] {
-      std::erase_if(Hanging,
-                    [Which](const auto &Each) { return Each.get() == Which; });
-    });
-    Hanging.push_back(std::move(Answer));
-  }
-
   bool throttled(const http::Request &What) {
     if (Faults.Throttle)
       return true;
@@ -284,7 +258,6 @@
             {"objects", Objects.size()}};
   }
 
-  boost::asio::io_context &Io;
   Options Config;
   SystemClock Time;
   Random Chance;
@@ -297,9 +270,8 @@
   std::uint64_t Writes = 0;
   std::uint64_t Throttled = 0;
   unsigned NonsenseKind = 0;
+  HeldCalls Held;
   http::Server Port;
-  std::list<Waiting> Delayed;
-  std::vector<Answerer> Hanging;
 };
 
 } // namespace daisyspool
--- a/standins/Standin.h
+++ b/standins/Standin.h
@@ -6,14 +6,17 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace daisyspool {
 
@@ -104,6 +107,59 @@
   return true;
 }
 
+/// Calls that a fault delays or never answers.
+///
+/// Thread safety: the I/O thread only.
+class HeldCalls {
+public:
+  using Answerer = std::shared_ptr<http::Exchange>;
+  using Handler = std::function<void(const http::Request &, Answerer)>;
+
+  explicit HeldCalls(boost::asio::io_context &Io) : Io(Io) {}
+  HeldCalls(const HeldCalls &) = delete;
+  HeldCalls &operator=(const HeldCalls &) = delete;
+
+  /// Passes the call to \p Next after \p Delay, also if its client has left.
+  void delay(Millis Delay, http::Request What, Answerer Answer, Handler Next) {
+    auto Entry = Delayed.insert(
+        Delayed.end(), Waiting{boost::asio::steady_timer(Io), std::move(What),
+                               std::move(Answer), std::move(Next)});
+    Entry->Timer.expires_after(Delay);
+    Entry->Timer.async_wait([this, Entry](boost::system::error_code Failure) {
+      if (Failure)
+        return;
+      Waiting Due = std::move(*Entry);
+      Delayed.erase(Entry);
+      Due.Next(Due.What, std::move(Due.Answer));
+    });
+  }
+
+  /// Keeps the call unanswered until its client leaves or dropHanging().
+  void hang(Answerer Answer) {
+    http::Exchange *Which = Answer.get();
+    Answer->onCallerLeft([this, Which] {
+      std::erase_if(Hanging,
+                    [Which](const auto &Each) { return Each.get() == Which; });
+    });
+    Hanging.push_back(std::move(Answer));
+  }
+
+  /// Closes the connections of calls that hang, as a restart would.
+  void dropHanging() { Hanging.clear(); }
+
+private:
+  struct Waiting {
+    boost::asio::steady_timer Timer;
+    http::Request What;
+    Answerer Answer;
+    Handler Next;
+  };
+
+  boost::asio::io_context &Io;
+  std::list<Waiting> Delayed;
+  std::vector<Answerer> Hanging;
+};
+
 /// Writes "NAME=ADDRESS:PORT" for whoever started the stand-in.
 inline void printReady(const char *Name, const http::Endpoint &Where) {
   std::printf("%s=%s\n", Name, http::toString(Where).c_str());
--- /dev/null
+++ b/standins/WorkerModel.h
@@ -0,0 +1,300 @@
+#ifndef DAISYSPOOL_STANDINS_WORKERMODEL_H
+#define DAISYSPOOL_STANDINS_WORKERMODEL_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/worker/Worker.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace daisyspool {
+
+/// What a fake task does, from a command like
+/// "run_ms=5000 exit_code=1 used_milli_cores=300". Unknown words are ignored.
+struct FakeCommand {
+  /// Run time at the full share.
+  Millis RunFor{1000};
+  int ExitCode = 0;
+  /// Real use where it differs from the declared size.
+  std::optional<std::int64_t> UsedMilliCores;
+  std::optional<std::int64_t> UsedMebiBytes;
+
+  static FakeCommand parse(const std::string &Text) {
+    FakeCommand Result;
+    std::istringstream Words(Text);
+    for (std::string Word; Words >> Word;) {
+      std::size_t Equals = Word.find('=');
+      if (Equals == std::string::npos)
+        continue;
+      std::int64_t Value = 0;
+      std::from_chars(Word.data() + Equals + 1, Word.data() + Word.size(),
+                      Value);
+      std::string Name = Word.substr(0, Equals);
+      if (Name == "run_ms")
+        Result.RunFor = Millis(Value);
+      else if (Name == "exit_code")
+        Result.ExitCode = static_cast<int>(Value);
+      else if (Name == "used_milli_cores")
+        Result.UsedMilliCores = Value;
+      else if (Name == "used_mebi_bytes")
+        Result.UsedMebiBytes = Value;
+    }
+
+    return Result;
+  }
+};
+
+/// The tasks of one fake worker: leases, progress, checkpoints and usage.
+///
+/// Shared by the worker stand-in and by the fake of the tests. Pure: every
+/// call takes the time. Thread safety: one thread at a time.
+class WorkerModel {
+public:
+  using Reason = WorkerRefused::Reason;
+
+  explicit WorkerModel(const Resources &Capacity) : Capacity(Capacity) {}
+
+  /// Starts a task that has \p Progress behind it already. Throws
+  /// WorkerRefused, as the other calls do.
+  void run(const TaskStart &What, TimePoint LeaseEnd, Millis Progress,
+           TimePoint Now) {
+    advance(Now);
+    if (Ended.contains(What.Which))
+      throw WorkerRefused(Reason::AttemptEnded, "attempt was stopped");
+    auto Found = Tasks.find(What.Which.Task);
+    if (Found != Tasks.end() && Found->second.Shown.Which == What.Which)
+      return;
+    if (Found != Tasks.end())
+      throw WorkerRefused(Reason::AnotherAttempt, "another attempt is there");
+    if (LeaseEnd <= Now)
+      throw WorkerRefused(Reason::LeaseLapsed, "lease has lapsed");
+    if (!(committed() + What.Size).fitsIn(Capacity)) {
+      ++Overcommits;
+      throw WorkerRefused(Reason::NoRoom, "beyond the capacity of the VM");
+    }
+
+    Task Started;
+    Started.Shown.Which = What.Which;
+    Started.Shown.Size = What.Size;
+    Started.Command = FakeCommand::parse(What.Command);
+    Started.Done = Progress;
+    Started.LeaseEnd = LeaseEnd;
+    Started.AdvancedTo = Now;
+    Tasks.emplace(What.Which.Task, std::move(Started));
+  }
+
+  void renew(const TaskAttempt &Which, TimePoint LeaseEnd, TimePoint Now) {
+    advance(Now);
+    Task &Held = running(Which);
+    if (LeaseEnd <= Now)
+      throw WorkerRefused(Reason::LeaseLapsed, "lease has lapsed");
+
+    Held.LeaseEnd = LeaseEnd;
+    setPhase(Held, Now);
+  }
+
+  void throttle(const TaskAttempt &Which, PerMille Share, TimePoint Now) {
+    advance(Now);
+    Task &Held = running(Which);
+    Held.Shown.Share = Share;
+    setPhase(Held, Now);
+  }
+
+  void stop(const TaskAttempt &Which, TimePoint Now) {
+    advance(Now);
+    // A run of this attempt that is still on the way must not start it.
+    Ended.insert(Which);
+    auto Found = Tasks.find(Which.Task);
+    if (Found != Tasks.end() && Found->second.Shown.Which == Which &&
+        isLive(Found->second))
+      Found->second.Shown.Phase = TaskPhase::Stopped;
+  }
+
+  void acknowledge(const TaskAttempt &Which, TimePoint Now) {
+    advance(Now);
+    auto Found = Tasks.find(Which.Task);
+    if (Found == Tasks.end() || Found->second.Shown.Which != Which)
+      return;
+    if (isLive(Found->second))
+      throw WorkerRefused(Reason::AnotherAttempt, "attempt has not ended");
+
+    Ended.insert(Which);
+    Tasks.erase(Found);
+  }
+
+  /// Run time behind a task, which is all that its checkpoint holds.
+  Millis progress(const TaskAttempt &Which, TimePoint Now) {
+    advance(Now);
+    return std::chrono::floor<Millis>(running(Which).Done);
+  }
+
+  /// Notes that a checkpoint was stored or has failed.
+  void checkpointEnded(const TaskAttempt &Which, const CheckpointId &Name,
+                       bool Stored) {
+    auto Found = Tasks.find(Which.Task);
+    if (Found == Tasks.end() || Found->second.Shown.Which != Which)
+      return;
+    WorkerTask &Shown = Found->second.Shown;
+    (Stored ? Shown.LastCheckpoint : Shown.FailedCheckpoint) = Name;
+  }
+
+  /// Ends a running task with a failure.
+  void fail(const TaskId &Which, int ExitCode, TimePoint Now) {
+    advance(Now);
+    auto Found = Tasks.find(Which);
+    if (Found == Tasks.end() || !isLive(Found->second))
+      throw WorkerRefused(Reason::UnknownTask, "no such running task");
+
+    Found->second.Shown.Phase = TaskPhase::Failed;
+    Found->second.Shown.ExitCode = ExitCode;
+  }
+
+  /// Forgets everything, as a VM that restarts does.
+  void crash() {
+    Tasks.clear();
+    Ended.clear();
+    Samples.clear();
+  }
+
+  std::vector<WorkerTask> tasks(TimePoint Now) {
+    advance(Now);
+    std::vector<WorkerTask> Result;
+    for (const auto &[Id, Each] : Tasks)
+      Result.push_back(Each.Shown);
+
+    return Result;
+  }
+
+  /// The newest measurement that is at least \p Lag old, which is at most ten
+  /// seconds; empty and of age zero if there is none yet.
+  WorkerUsage usage(Duration Lag, TimePoint Now) {
+    advance(Now);
+    const Sample *Newest = nullptr;
+    for (const Sample &Each : Samples)
+      if (Now - Each.At >= Lag)
+        Newest = &Each;
+    if (Newest == nullptr)
+      return {};
+
+    return {Newest->Tasks, Now - Newest->At};
+  }
+
+  /// Lets all tasks make progress up to \p Now, and measures their use at
+  /// each sample period on the way.
+  void advance(TimePoint Now) {
+    TimePoint Next = Samples.empty() ? Now : Samples.back().At + SamplePeriod;
+    // Samples that are too old to be shown are not taken.
+    if (Now - Next > MaxLag + SamplePeriod)
+      Next = Now - MaxLag - SamplePeriod;
+    for (; Next <= Now; Next += SamplePeriod) {
+      for (auto &[Id, Each] : Tasks)
+        advance(Each, Next);
+      takeSample(Next);
+    }
+
+    for (auto &[Id, Each] : Tasks)
+      advance(Each, Now);
+  }
+
+  /// Starts that were refused because the VM would have been overcommitted.
+  std::uint64_t overcommits() const { return Overcommits; }
+
+private:
+  static constexpr Millis SamplePeriod{100};
+  static constexpr Millis MaxLag{10000};
+
+  struct Task {
+    WorkerTask Shown;
+    FakeCommand Command;
+    Duration Done{};
+    TimePoint LeaseEnd{};
+    TimePoint AdvancedTo{};
+  };
+
+  struct Sample {
+    TimePoint At{};
+    std::vector<TaskUsage> Tasks;
+  };
+
+  void takeSample(TimePoint At) {
+    Sample Taken{At, {}};
+    for (const auto &[Id, Each] : Tasks)
+      if (isLive(Each))
+        Taken.Tasks.push_back({Each.Shown.Which, used(Each)});
+    Samples.push_back(std::move(Taken));
+    if (Samples.size() > MaxLag / SamplePeriod + 2)
+      Samples.pop_front();
+  }
+
+  static bool isLive(const Task &Each) {
+    return Each.Shown.Phase == TaskPhase::Running ||
+           Each.Shown.Phase == TaskPhase::Suspended;
+  }
+
+  static void setPhase(Task &Each, TimePoint Now) {
+    bool Runs = Now < Each.LeaseEnd && Each.Shown.Share > Suspended;
+    Each.Shown.Phase = Runs ? TaskPhase::Running : TaskPhase::Suspended;
+  }
+
+  static void advance(Task &Each, TimePoint Now) {
+    if (!isLive(Each) || Now <= Each.AdvancedTo)
+      return;
+
+    // Nothing runs after the end of the lease, however late this is noticed.
+    TimePoint Until = std::min(Now, Each.LeaseEnd);
+    if (Until > Each.AdvancedTo)
+      Each.Done += (Until - Each.AdvancedTo) * Each.Shown.Share.value() / 1000;
+    Each.AdvancedTo = Now;
+    setPhase(Each, Now);
+    if (Each.Done < Each.Command.RunFor)
+      return;
+
+    Each.Shown.ExitCode = Each.Command.ExitCode;
+    Each.Shown.Phase =
+        Each.Command.ExitCode == 0 ? TaskPhase::Finished : TaskPhase::Failed;
+  }
+
+  static Resources used(const Task &Each) {
+    const Resources &Size = Each.Shown.Size;
+    std::int64_t Cpu = Each.Command.UsedMilliCores.value_or(Size.Cpu.value());
+    std::int64_t Share =
+        Each.Shown.Phase == TaskPhase::Running ? Each.Shown.Share.value() : 0;
+    return {MilliCores(Cpu * Share / 1000),
+            MebiBytes(Each.Command.UsedMebiBytes.value_or(Size.Memory.value())),
+            Size.Accelerator};
+  }
+
+  Resources committed() const {
+    Resources Sum;
+    for (const auto &[Id, Each] : Tasks)
+      if (isLive(Each))
+        Sum = Sum + Each.Shown.Size;
+
+    return Sum;
+  }
+
+  Task &running(const TaskAttempt &Which) {
+    auto Found = Tasks.find(Which.Task);
+    if (Found == Tasks.end() || Found->second.Shown.Which != Which)
+      throw WorkerRefused(Reason::UnknownTask, "no such attempt");
+    if (!isLive(Found->second))
+      throw WorkerRefused(Reason::AttemptEnded, "attempt has ended");
+
+    return Found->second;
+  }
+
+  Resources Capacity;
+  std::map<TaskId, Task> Tasks;
+  std::set<TaskAttempt> Ended;
+  std::deque<Sample> Samples;
+  std::uint64_t Overcommits = 0;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_STANDINS_WORKERMODEL_H
--- /dev/null
+++ b/tests/worker/FakeWorkerTest.cpp
@@ -0,0 +1,117 @@
+#include "support/FakeWorker.h"
+#include "support/FakePlatform.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+using Reason = WorkerRefused::Reason;
+
+namespace {
+
+const Resources Half{MilliCores(500), MebiBytes(500), Accelerators(0)};
+const Resources Whole{MilliCores(1000), MebiBytes(1000), Accelerators(0)};
+const Duration Lease = Millis(10000);
+
+struct Fixture {
+  ManualClock Time;
+  FakePlatform Platform{Time};
+  FakeObjects Objects{Platform};
+  FakeWorker Vm{Whole, Time, Objects};
+
+  static TaskStart task(const std::string &Id, std::uint64_t Attempt) {
+    return {{TaskId(Id), AttemptNumber(Attempt)},
+            "run_ms=5000",
+            Half,
+            std::nullopt};
+  }
+
+  TaskPhase phase(const std::string &Id) {
+    for (const WorkerTask &Each : Vm.tasks())
+      if (Each.Which.Task.str() == Id)
+        return Each.Phase;
+    FAIL("no task " << Id);
+    return TaskPhase::Stopped;
+  }
+
+  template <typename Function> Reason refusal(Function Act) {
+    try {
+      Act();
+    } catch (const WorkerRefused &Refused) {
+      return Refused.reason();
+    }
+    FAIL("was not refused");
+    return Reason::NoRoom;
+  }
+};
+
+} // namespace
+
+// Guards against a task that runs on after its lease, and against work that is
+// lost when a lease is renewed late.
+TEST_CASE_METHOD(Fixture, "a task makes progress only under its lease") {
+  Vm.run(task("t", 1), Millis(2000));
+  Time.advance(Millis(60000));
+  REQUIRE(phase("t") == TaskPhase::Suspended);
+
+  Vm.renew(task("t", 1).Which, Lease);
+  Time.advance(Millis(2999));
+  REQUIRE(phase("t") == TaskPhase::Running);
+  Time.advance(Millis(1));
+  REQUIRE(phase("t") == TaskPhase::Finished);
+}
+
+// Guards against a worker that is committed beyond its size, or that runs two
+// attempts of one task.
+TEST_CASE_METHOD(Fixture, "starts that must not happen are refused") {
+  Vm.run(task("a", 1), Lease);
+  Vm.run(task("a", 1), Lease);
+  Vm.run(task("b", 1), Lease);
+
+  REQUIRE(refusal([&] { Vm.run(task("c", 1), Lease); }) == Reason::NoRoom);
+  REQUIRE(refusal([&] { Vm.run(task("a", 2), Lease); }) ==
+          Reason::AnotherAttempt);
+  Vm.stop(task("d", 1).Which);
+  REQUIRE(refusal([&] { Vm.run(task("d", 1), Lease); }) ==
+          Reason::AttemptEnded);
+  REQUIRE(Vm.tasks().size() == 2);
+}
+
+// Guards against a suspended task that loses its memory or its progress.
+TEST_CASE_METHOD(Fixture, "a share of zero suspends and a share resumes") {
+  Vm.run(task("t", 1), Lease);
+  Vm.throttle(task("t", 1).Which, Suspended);
+  Time.advance(Millis(5000));
+  REQUIRE(phase("t") == TaskPhase::Suspended);
+  REQUIRE(Vm.usage().Tasks.at(0).Used ==
+          Resources{MilliCores(0), MebiBytes(500), Accelerators(0)});
+  REQUIRE(Vm.usage().Age >= Vm.UsageLag);
+
+  Vm.throttle(task("t", 1).Which, FullShare);
+  Vm.renew(task("t", 1).Which, Lease);
+  Time.advance(Millis(5000));
+  REQUIRE(phase("t") == TaskPhase::Finished);
+}
+
+// Guards against work that is lost or repeated across an eviction.
+TEST_CASE_METHOD(Fixture, "a task resumes from its checkpoint elsewhere") {
+  Vm.run(task("t", 1), Lease);
+  Time.advance(Millis(4000));
+  Objects.Faults.Down = true;
+  Vm.checkpoint(task("t", 1).Which, CheckpointId("bad"));
+  Objects.Faults.Down = false;
+  Vm.checkpoint(task("t", 1).Which, CheckpointId("good"));
+  REQUIRE(Vm.tasks().at(0).FailedCheckpoint == CheckpointId("bad"));
+  REQUIRE(Vm.tasks().at(0).LastCheckpoint == CheckpointId("good"));
+  Vm.stop(task("t", 1).Which);
+
+  FakeWorker Other(Whole, Time, Objects);
+  TaskStart Next = task("t", 2);
+  Next.ResumeFrom = CheckpointId("good");
+  Other.run(Next, Lease);
+  Time.advance(Millis(1000));
+  REQUIRE(Other.tasks().at(0).Phase == TaskPhase::Finished);
+
+  Next.ResumeFrom = CheckpointId("absent");
+  REQUIRE(refusal([&] { Other.run(Next, Lease); }) ==
+          Reason::UnknownCheckpoint);
+}
