Measure routing and admission, and tune them to the targets

An attempt in another failure domain now counts only for its time at the target, so slots are not idle during the round trip. Admission spends at most half of a request's slack on waiting. Only the urgent class keeps free slots, in the home domain.

--- /dev/null
+++ b/bench/decision_bench.cpp
@@ -0,0 +1,414 @@
+// Measures the decisions of routing and admission: outcomes under virtual time
+// on a fake fleet, each against its baselines, and the cost of one decision.
+#include "RequestEntries.h"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace daisyspool;
+using namespace daisyspool::bench;
+
+namespace {
+
+constexpr TimePoint WindowStart = TimePoint(20 * Second);
+constexpr TimePoint WindowEnd = TimePoint(50 * Second);
+constexpr TimePoint RunEnd = TimePoint(80 * Second);
+constexpr double WindowSeconds = 30;
+// Membership removes a silent target after this time.
+constexpr Duration DeathDetection = 5 * Second;
+constexpr std::uint64_t Seed = 20261204;
+
+std::vector<Deployment> deployments() {
+  Deployment Voicematch;
+  Voicematch.Name = "voicematch";
+  Voicematch.Domains = {"saskatoon", "regina", "winnipeg"};
+  Voicematch.OneWay = std::chrono::microseconds(3500);
+  Voicematch.Classes = {
+      {WorkClass::Urgent, 0.20, Millis(12), Millis(250), true, 4},
+      {WorkClass::Session, 0.25, 30 * Second, 1 * Second, false, 4},
+      {WorkClass::Standard, 0.20, Millis(400), 10 * Second, false, 8},
+      {WorkClass::Batch, 0.15, Millis(300), 20 * Second, true, 4}};
+
+  Deployment Schulweg;
+  Schulweg.Name = "schulwegdienst";
+  Schulweg.Domains = {"burgdorf", "langnau", "konolfingen", "sumiswald"};
+  Schulweg.OneWay = Millis(3);
+  Schulweg.Classes = {
+      {WorkClass::Urgent, 0.20, Millis(20), Millis(400), true, 4},
+      {WorkClass::Session, 0.25, 30 * Second, 1 * Second, false, 4},
+      {WorkClass::Standard, 0.20, Millis(150), 10 * Second, false, 8},
+      {WorkClass::Batch, 0.15, Millis(500), 20 * Second, true, 4}};
+  return {Voicematch, Schulweg};
+}
+
+struct Scenario {
+  std::string Name;
+  /// Factor on the arrivals of each class during the window.
+  std::array<double, WorkClassCount> Flood{1, 1, 1, 1};
+  /// Factor on the arrivals of team 0 of the standard class.
+  double TeamFlood = 1;
+  bool LosesDomain = false;
+  bool SlowLink = false;
+  bool FlakyTarget = false;
+};
+
+std::vector<Scenario> scenarios() {
+  return {{"steady"},
+          {"flood-batch", {1, 1, 1, 10}},
+          {"flood-urgent", {10, 1, 1, 1}},
+          {"flood-both", {10, 1, 1, 10}},
+          {"flood-team", {1, 1, 1, 1}, 40},
+          {"domain-lost", {1, 1, 1, 1}, 1, true},
+          {"slow-link", {1, 1, 1, 1}, 1, false, true},
+          {"flaky-worker", {1, 1, 1, 1}, 1, false, false, true}};
+}
+
+struct ClassResult {
+  std::uint64_t Offered = 0;
+  std::uint64_t OnTime = 0;
+  std::uint64_t Late = 0;
+  std::uint64_t RefusedUnrun = 0;
+  std::uint64_t Failed = 0;
+  /// Time in the window that slots spent on requests answered on time.
+  double GoodSlotSeconds = 0;
+  double OfferedSlotSeconds = 0;
+  std::vector<double> LatencyMs;
+
+  double percentile(double Part) {
+    if (LatencyMs.empty())
+      return 0;
+    std::sort(LatencyMs.begin(), LatencyMs.end());
+    auto Place = static_cast<std::size_t>(Part * double(LatencyMs.size()));
+    return LatencyMs[std::min(Place, LatencyMs.size() - 1)];
+  }
+};
+
+struct RunResult {
+  std::array<ClassResult, WorkClassCount> Classes;
+  /// Standard requests of all teams but team 0.
+  ClassResult QuietTeams;
+  double ExtraLoad = 0;
+  double Retries = 0;
+  double Hedges = 0;
+
+  ClassResult &of(WorkClass Class) {
+    return Classes[static_cast<std::size_t>(Class)];
+  }
+  double goodSlotSeconds() const {
+    double Sum = 0;
+    for (const ClassResult &Each : Classes)
+      Sum += Each.GoodSlotSeconds;
+    return Sum;
+  }
+};
+
+double seconds(Duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+/// Part of [End - Length, End] that lies in the window, in seconds.
+double inWindow(TimePoint End, Duration Length) {
+  TimePoint From = std::max(End - Length, WindowStart);
+  return std::max(0.0, seconds(std::min(End, WindowEnd) - From));
+}
+
+void record(ClassResult &To, const BenchRequest &Request, Ending How,
+            Duration Ran, TimePoint Now) {
+  bool Session = Request.Load->Class == WorkClass::Session;
+  bool OnTime =
+      How == Ending::Answered && (Session || Now <= Request.deadline());
+  if (OnTime && !Session)
+    To.GoodSlotSeconds += inWindow(Now, Ran);
+  if (Request.ArrivedAt < WindowStart || Request.ArrivedAt >= WindowEnd)
+    return;
+
+  ++To.Offered;
+  To.OfferedSlotSeconds += seconds(Request.Size);
+  if (How == Ending::RefusedUnrun)
+    ++To.RefusedUnrun;
+  else if (How == Ending::Failed)
+    ++To.Failed;
+  else
+    ++(OnTime ? To.OnTime : To.Late);
+  if (How == Ending::Answered && !Session)
+    To.LatencyMs.push_back(seconds(Now - Request.ArrivedAt) * 1e3);
+}
+
+using MakeEntry =
+    std::function<std::unique_ptr<BenchEntry>(RequestFleet &, EndedFn)>;
+
+/// One run of a scenario with one entry.
+class Run {
+public:
+  Run(const Deployment &Setup, const Scenario &What, const MakeEntry &Make)
+      : Fleet(Setup, Seed), What(What), Arrivals(Seed + 1),
+        Entry(Make(Fleet, [this](BenchRequest &Request, Ending How,
+                                 Duration Ran) { ended(Request, How, Ran); })) {
+  }
+
+  RunResult result() {
+    for (std::uint32_t Target = 0; Target < Fleet.setup().Targets; ++Target)
+      Entry->addTarget(Target, true);
+    Fleet.addSlowdown({3, 30 * Second, 36 * Second, 2.0});
+    Fleet.addSlowdown({7, 40 * Second, 44 * Second, 1.5});
+    scheduleFaults();
+    for (const ClassLoad &Load : Fleet.setup().Classes)
+      scheduleArrival(Load);
+    tick();
+    Fleet.run(RunEnd);
+
+    double First = double(std::max<std::uint64_t>(Entry->firstAttempts(), 1));
+    Result.Retries = double(Entry->retries()) / First;
+    Result.Hedges = double(Entry->hedges()) / First;
+    Result.ExtraLoad = Result.Retries + Result.Hedges;
+    return std::move(Result);
+  }
+
+private:
+  void tick() {
+    Entry->tick();
+    Fleet.after(Millis(1), [this] { tick(); });
+  }
+
+  void scheduleFaults() {
+    Fleet.after(WindowStart - TimePoint(), [this] {
+      Fleet.setFailing(5, What.FlakyTarget);
+      if (What.SlowLink)
+        for (std::uint32_t Domain = 1; Domain < Fleet.setup().Domains.size();
+             ++Domain)
+          Fleet.setOneWay(Domain, Millis(60));
+      if (What.LosesDomain)
+        loseDomain(true);
+    });
+    Fleet.after(WindowStart + 20 * Second - TimePoint(), [this] {
+      Fleet.setFailing(5, false);
+      for (std::uint32_t Domain = 1; Domain < Fleet.setup().Domains.size();
+           ++Domain)
+        Fleet.setOneWay(Domain, Fleet.setup().OneWay);
+      if (What.LosesDomain)
+        loseDomain(false);
+    });
+  }
+
+  void loseDomain(bool Down) {
+    for (std::uint32_t Target = 0; Target < Fleet.setup().Targets; ++Target) {
+      if (Fleet.domainOf(Target) != 1)
+        continue;
+      Fleet.setDown(Target, Down);
+      if (Down)
+        Fleet.after(DeathDetection,
+                    [this, Target] { Entry->removeTarget(Target); });
+      else
+        Entry->addTarget(Target, false);
+    }
+  }
+
+  double rate(const ClassLoad &Load) const {
+    double Units =
+        Load.Class == WorkClass::Session
+            ? double(Fleet.setup().Targets) * Fleet.setup().Connections
+            : Fleet.setup().slots();
+    return Load.Utilization * Units / seconds(Load.MeanService);
+  }
+
+  void scheduleArrival(const ClassLoad &Load) {
+    bool Inside = Fleet.now() >= WindowStart && Fleet.now() < WindowEnd;
+    double Base = rate(Load);
+    double Rate = Base;
+    double Team0 = Base / Load.Teams;
+    if (Inside) {
+      Rate = Base * What.Flood[static_cast<std::size_t>(Load.Class)];
+      if (Load.Class == WorkClass::Standard) {
+        double More = Team0 * (What.TeamFlood - 1);
+        Rate += More;
+        Team0 += More;
+      }
+    }
+    double Gap = -std::log(1 - Arrivals.unit()) / Rate;
+    Fleet.after(Duration(static_cast<Duration::rep>(Gap * 1e9)),
+                [this, &Load, Part = Team0 / Rate] {
+                  arrive(Load, Part);
+                  scheduleArrival(Load);
+                });
+  }
+
+  void arrive(const ClassLoad &Load, double Team0Part) {
+    if (Fleet.now() >= WindowEnd + 20 * Second)
+      return;
+    auto Request = std::make_shared<BenchRequest>();
+    Request->Key = NextKey++;
+    Request->Load = &Load;
+    Request->ArrivedAt = Fleet.now();
+    // A tail that is bounded at 3.5 times the mean.
+    double Tail = std::min(-std::log(1 - Arrivals.unit()), 6.0);
+    Request->Size = Duration(static_cast<Duration::rep>(
+        double(Load.MeanService.count()) * (0.5 + 0.5 * Tail)));
+    bool Flooding = Load.Class == WorkClass::Standard && What.TeamFlood > 1 &&
+                    Arrivals.unit() < Team0Part;
+    Request->Team =
+        Flooding || Load.Teams == 1
+            ? 0
+            : int(Arrivals.below(std::uint64_t(Load.Teams - 1))) + 1;
+    Entry->arrive(Request);
+  }
+
+  void ended(BenchRequest &Request, Ending How, Duration Ran) {
+    record(Result.of(Request.Load->Class), Request, How, Ran, Fleet.now());
+    if (Request.Load->Class == WorkClass::Standard && Request.Team != 0)
+      record(Result.QuietTeams, Request, How, Ran, Fleet.now());
+  }
+
+  RequestFleet Fleet;
+  Scenario What;
+  Random Arrivals;
+  std::unique_ptr<BenchEntry> Entry;
+  RunResult Result;
+  std::uint64_t NextKey = 1;
+};
+
+DaisyOptions options(const Deployment &Setup) {
+  DaisyOptions Options;
+  Options.Routing.Home = FailureDomainId(Setup.Domains.front());
+  for (const ClassLoad &Load : Setup.Classes) {
+    auto Index = static_cast<std::size_t>(Load.Class);
+    if (Load.Class != WorkClass::Session)
+      Options.Admission.Classes[Index].InitialService = Load.MeanService;
+  }
+  return Options;
+}
+
+MakeEntry daisy(const DaisyOptions &Options) {
+  return [Options](RequestFleet &Fleet, EndedFn OnEnded) {
+    return std::make_unique<DaisyEntry>(Fleet, std::move(OnEnded), Options);
+  };
+}
+
+template <typename EntryType> MakeEntry plain() {
+  return [](RequestFleet &Fleet, EndedFn OnEnded) {
+    return std::make_unique<EntryType>(Fleet, std::move(OnEnded));
+  };
+}
+
+void line(const std::string &Bench, const std::string &Variant,
+          const std::string &Metric, double Value) {
+  std::printf("bench=%s variant=%s metric=%s value=%.4g\n", Bench.c_str(),
+              Variant.c_str(), Metric.c_str(), Value);
+}
+
+void printResult(const Deployment &Setup, const std::string &Bench,
+                 const std::string &Variant, RunResult &Result) {
+  double Capacity = Setup.slots() * WindowSeconds;
+  ClassResult &Urgent = Result.of(WorkClass::Urgent);
+  line(Bench, Variant, "urgent_p50_ms", Urgent.percentile(0.5));
+  line(Bench, Variant, "urgent_p99_ms", Urgent.percentile(0.99));
+  line(Bench, Variant, "urgent_p99.9_ms", Urgent.percentile(0.999));
+  for (std::size_t Index = 0; Index < WorkClassCount; ++Index) {
+    ClassResult &Each = Result.Classes[Index];
+    auto Class = static_cast<WorkClass>(Index);
+    std::string Name = toString(Class);
+    double Offered = double(std::max<std::uint64_t>(Each.Offered, 1));
+    if (Class != WorkClass::Session)
+      line(Bench, Variant, Name + "_goodput_of_capacity",
+           Each.GoodSlotSeconds / Capacity);
+    line(Bench, Variant, Name + "_on_time", double(Each.OnTime) / Offered);
+    line(Bench, Variant, Name + "_refused_unrun",
+         double(Each.RefusedUnrun) / Offered);
+    line(Bench, Variant, Name + "_late", double(Each.Late));
+    line(Bench, Variant, Name + "_failed", double(Each.Failed));
+  }
+  line(Bench, Variant, "retries", Result.Retries);
+  line(Bench, Variant, "hedges", Result.Hedges);
+}
+
+bool verdict(const std::string &Target, const char *Relation, double Bound,
+             double Measured) {
+  bool Pass = Relation[0] == '>' ? Measured >= Bound : Measured <= Bound;
+  std::printf("target=%s bound=%s%.4g measured=%.4g verdict=%s\n",
+              Target.c_str(), Relation, Bound, Measured,
+              Pass ? "pass" : "fail");
+  return Pass;
+}
+
+using Results = std::map<std::string, std::map<std::string, RunResult>>;
+
+void judge(const Deployment &Setup, Results &All) {
+  const std::string &Name = Setup.Name;
+  double Capacity = Setup.slots() * WindowSeconds;
+  auto Ours = [&](const char *Scenario) -> RunResult & {
+    return All[Scenario]["daisyspool"];
+  };
+  double Unflooded = Ours("steady").of(WorkClass::Urgent).percentile(0.99);
+  for (const char *Flood : {"flood-batch", "flood-team"})
+    verdict(Name + ".urgent_p99_over_unflooded." + Flood, "<=", 1.25,
+            Ours(Flood).of(WorkClass::Urgent).percentile(0.99) / Unflooded);
+
+  for (const char *Flood : {"flood-urgent", "flood-both"}) {
+    RunResult &Result = Ours(Flood);
+    verdict(Name + ".goodput_of_capacity." + Flood, ">=", 0.9,
+            Result.goodSlotSeconds() / Capacity);
+    double Late = 0;
+    for (ClassResult &Each : Result.Classes)
+      Late += double(Each.Late + Each.Failed);
+    verdict(Name + ".late_or_failed." + Flood, "<=", 0, Late);
+    ClassResult &Sessions = Result.of(WorkClass::Session);
+    verdict(Name + ".sessions_kept." + Flood, ">=", 1,
+            double(Sessions.OnTime) / double(Sessions.Offered));
+    for (WorkClass Class : {WorkClass::Standard, WorkClass::Batch}) {
+      ClassResult &Each = Result.of(Class);
+      double Share =
+          AdmissionSettings{}.Classes[static_cast<std::size_t>(Class)].Share;
+      double Due = std::min(Share * Capacity, Each.OfferedSlotSeconds);
+      verdict(Name + "." + toString(Class) + "_of_guaranteed_share." + Flood,
+              ">=", 0.95, Each.GoodSlotSeconds / Due);
+    }
+  }
+
+  for (const char *Scenario : {"steady", "flood-batch"}) {
+    auto Batch = [&](const char *Variant) {
+      return All[Scenario][Variant].of(WorkClass::Batch).GoodSlotSeconds;
+    };
+    const char *Best = Batch("fifo") >= Batch("random") ? "fifo" : "random";
+    verdict(Name + ".batch_over_best_baseline." + Scenario, ">=", 0.95,
+            Batch("daisyspool") / Batch(Best));
+    verdict(Name + ".urgent_p99_over_that_baseline." + Scenario, "<=", 0.5,
+            Ours(Scenario).of(WorkClass::Urgent).percentile(0.99) /
+                All[Scenario][Best].of(WorkClass::Urgent).percentile(0.99));
+  }
+
+  ClassResult &Quiet = Ours("flood-team").QuietTeams;
+  verdict(Name + ".quiet_teams_over_unflooded.flood-team", ">=", 0.95,
+          Quiet.GoodSlotSeconds / Ours("steady").QuietTeams.GoodSlotSeconds);
+  const std::string ExtraLoad = Name + ".extra_load.";
+  for (auto &[Scenario, Variants] : All)
+    verdict(ExtraLoad + Scenario, "<=", 0.1, Variants["daisyspool"].ExtraLoad);
+}
+
+void runDeployment(const Deployment &Setup) {
+  Results All;
+  std::vector<std::pair<std::string, MakeEntry>> Variants{
+      {"daisyspool", daisy(options(Setup))},
+      {"random", plain<RandomEntry>()},
+      {"fifo", plain<FifoEntry>()}};
+  for (const Scenario &What : scenarios()) {
+    for (const auto &[Name, Make] : Variants) {
+      RunResult Result = Run(Setup, What, Make).result();
+      printResult(Setup, Setup.Name + "." + What.Name, Name, Result);
+      All[What.Name][Name] = std::move(Result);
+    }
+  }
+  judge(Setup, All);
+}
+
+} // namespace
+
+int main() {
+  for (const Deployment &Setup : deployments())
+    runDeployment(Setup);
+  return 0;
+}
--- a/include/daisyspool/admission/AdmissionQueue.h
+++ b/include/daisyspool/admission/AdmissionQueue.h
@@ -32,17 +32,24 @@
   /// Used until service times have been observed.
   Duration InitialService{};
   std::uint32_t MaxQueued = 0;
+  /// Free slots kept for the class beyond its mean demand, in square roots of
+  /// that demand, within its guaranteed share. Without a value none are kept;
+  /// a class whose deadlines allow it to wait for a slot needs none.
+  std::optional<double> ReserveDeviations;
 };
 
 struct AdmissionSettings {
   std::array<ClassPolicy, WorkClassCount> Classes{
-      ClassPolicy{0.5, Millis(20), 4096}, ClassPolicy{0.2, Millis(20), 1024},
-      ClassPolicy{0.2, Millis(500), 1024}, ClassPolicy{0.1, Millis(500), 4096}};
+      ClassPolicy{0.5, Millis(20), 4096, 1.0},
+      ClassPolicy{0.2, Millis(20), 1024, {}},
+      ClassPolicy{0.2, Millis(500), 1024, {}},
+      ClassPolicy{0.1, Millis(500), 4096, {}}};
   /// The part of service times that a deadline must leave room for.
   double ServiceQuantile = 0.9999;
-  /// Free slots kept for a class beyond its mean demand, in square roots of
-  /// that demand, within its guaranteed share.
-  double ReserveDeviations = 1.0;
+  /// The part of a request's slack that it may be expected to wait. In an
+  /// overload a longer queue only delays every answer to its deadline, which
+  /// leaves no room for an unusually slow one.
+  double WaitPart = 0.5;
   /// How long demand is remembered.
   Duration DemandWindow = std::chrono::seconds(5);
   /// Teams without an account of their own beyond this share one.
--- a/include/daisyspool/routing/Router.h
+++ b/include/daisyspool/routing/Router.h
@@ -43,6 +43,10 @@
   /// believed to be full would get no request and so never correct the report.
   Duration ReportLifetime = std::chrono::seconds(1);
   bool AdaptConcurrency = true;
+  /// Counts an attempt in another domain only for the part of its time that it
+  /// spends at the target. Otherwise the target's slots stand idle during the
+  /// round trip, which is as long as a short request.
+  bool DiscountTransit = true;
 };
 
 struct TargetInfo {
@@ -125,6 +129,8 @@
   std::uint32_t Generation = 0;
   Occupies Holds = Occupies::Slot;
   bool Probe = false;
+  /// Part of a slot that the attempt counts for.
+  double Weight = 1;
   std::uint32_t InFlight = 0;
   TimePoint SentAt{};
   Duration Expected{};
@@ -145,10 +151,11 @@
 /// Two random targets of the entry's failure domain are compared by estimated
 /// time to the answer. Another domain is used when the time saved exceeds its
 /// extra delay. No target gets more attempts than it has slots or connections,
-/// counting those that it reports for other entries. A target that fails is
-/// ejected for a time that doubles with each ejection, returns by one probe
-/// and then gets more requests step by step. Retries and hedges need an
-/// idempotent request and a paid place in the RetryBudget.
+/// counting those that it reports for other entries; attempts in transit to
+/// another domain count in part, and its agent holds them to the slots. A
+/// target that fails is ejected for a time that doubles with each ejection,
+/// returns by one probe and then gets more requests step by step. Retries and
+/// hedges need an idempotent request and a paid place in the RetryBudget.
 ///
 /// Use one router per service in an entry. A request that gets no target goes
 /// back to the AdmissionQueue. Times passed in must not go backwards.
@@ -199,9 +206,8 @@
   std::string explainLast() const;
 
   /// Attempts that may be in flight at once, for AdmissionQueue::setCapacity.
-  std::uint32_t capacity(Occupies Holds) const {
-    return Capacity[static_cast<std::size_t>(Holds)];
-  }
+  /// It grows with the attempts that are in transit.
+  std::uint32_t capacity(Occupies Holds) const;
 
   /// Part of the slots in use or reported in use.
   double utilization() const;
@@ -227,6 +233,8 @@
     std::uint32_t Generation = 0;
     State Is = State::Serving;
     std::uint32_t OwnSlots = 0;
+    /// Sum of the weights of the attempts that hold the own slots.
+    double Occupied = 0;
     std::uint32_t OwnConnections = 0;
     std::uint32_t OtherSlots = 0;
     std::uint32_t OtherConnections = 0;
@@ -282,6 +290,10 @@
                           TimePoint Now) const;
   std::optional<RouteCandidate>
   sample(const Domain &In, const RouteRequest &Request, TimePoint Now);
+  double weight(const Domain &To, const RouteRequest &Request,
+                TimePoint Now) const;
+  bool hasRoom(const Target &T, const RouteRequest &Request,
+               double Weight) const;
   bool tried(std::uint32_t Index, const RouteRequest &Request) const;
   Duration extraDelay(const Domain &To, TimePoint Now) const;
   void considerRemote(const RouteRequest &Request, TimePoint Now);
@@ -303,6 +315,8 @@
   /// A heap of the next time each target changes by itself.
   std::vector<std::pair<TimePoint, std::uint32_t>> Rechecks;
   std::array<std::uint32_t, OccupiesCount> Capacity{};
+  /// Sum of the weights of all attempts that hold slots, and their number.
+  double Occupied = 0;
   std::uint32_t SlotsInUse = 0;
   std::uint32_t Live = 0;
   std::uint32_t Ejected = 0;
--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -127,7 +127,9 @@
 
   if (In.Capacity == 0)
     return Refusal(RefusalReason::NoCapacity);
-  if (Wait + Why.EstimatedService > Request.Remaining)
+  Duration Slack = Request.Remaining - Why.EstimatedService;
+  if (Slack < Duration::zero() ||
+      nanos(Wait) > nanos(Slack) * Settings.WaitPart)
     return Refusal(RefusalReason::Late);
 
   const TeamQuota &Quota = Quotas[TeamIndex];
@@ -345,10 +347,13 @@
                                             WorkClass Class) const {
   double Sum = 0;
   for (std::size_t Index = 0; Index < indexOf(Class); ++Index) {
+    const ClassPolicy &Policy = Settings.Classes[Index];
+    if (!Policy.ReserveDeviations)
+      continue;
     const Lane &Of = In.Lanes[Index];
     double Wanted =
-        Of.Demand + Settings.ReserveDeviations * std::sqrt(Of.Demand);
-    double Guaranteed = Settings.Classes[Index].Share * In.Capacity;
+        Of.Demand + *Policy.ReserveDeviations * std::sqrt(Of.Demand);
+    double Guaranteed = Policy.Share * In.Capacity;
     double Kept = std::ceil(std::min(Wanted, Guaranteed));
     Sum += std::max(Kept - Of.Running, 0.0);
   }
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -29,6 +29,10 @@
 constexpr Duration FadeAfter = std::chrono::seconds(1);
 // A probe may fail, so its request must have time for a retry.
 constexpr int ProbeRoom = 4;
+// Bounds the attempts sent to a target to twice its slots, however slow the
+// link to it is.
+constexpr double MinWeight = 0.5;
+constexpr double RoundingSlack = 1e-6;
 // Draws for each candidate before a decision gives up on untried targets.
 constexpr int DrawsPerChoice = 3;
 
@@ -123,6 +127,7 @@
   T.Is = State::Gone;
   refresh(Index, Now);
   SlotsInUse -= T.OwnSlots;
+  Occupied -= T.Occupied;
   Indexes.erase(Found);
   --Live;
   // Tickets of the old generation are ignored from here on.
@@ -170,10 +175,11 @@
                       Last.Remote->Estimate + Last.ExtraDelay < Last.HomeTime);
   if (Closer)
     return decide(RouteReason::Spilled, Last.Remote->Index);
-  if (Last.Home)
+  if (Last.Home && !Kept)
     return decide(RouteReason::Home, Last.Home->Index);
 
-  Last.Reason = Last.Remote ? RouteReason::WaitForHome : RouteReason::NoTarget;
+  Last.Reason = Last.Home || Last.Remote ? RouteReason::WaitForHome
+                                         : RouteReason::NoTarget;
   return std::nullopt;
 }
 
@@ -190,15 +196,26 @@
   bool Probe = T.Is == State::Probing;
   T.ProbeInFlight = T.ProbeInFlight || Probe;
   ++T.OwnConnections;
+  double Weight = 0;
   if (Request.Holds == Occupies::Slot) {
+    Weight = weight(Domains[T.Domain], Request, Now);
+    T.Occupied += Weight;
+    Occupied += Weight;
     ++T.OwnSlots;
     ++SlotsInUse;
   }
   refresh(Index, Now);
 
-  std::uint32_t InFlight = T.OwnSlots + T.OtherSlots;
-  return {Index,    T.Generation, Request.Holds,          Probe,
-          InFlight, Now,          Request.ExpectedService};
+  AttemptTicket Ticket;
+  Ticket.Index = Index;
+  Ticket.Generation = T.Generation;
+  Ticket.Holds = Request.Holds;
+  Ticket.Probe = Probe;
+  Ticket.Weight = Weight;
+  Ticket.InFlight = T.OwnSlots + T.OtherSlots;
+  Ticket.SentAt = Now;
+  Ticket.Expected = Request.ExpectedService;
+  return Ticket;
 }
 
 void Router::onReply(const AttemptTicket &Ticket, const LoadReport &Load,
@@ -281,9 +298,17 @@
   return Line;
 }
 
+std::uint32_t Router::capacity(Occupies Holds) const {
+  if (Holds == Occupies::ConnectionOnly)
+    return Capacity[ConnectionKind];
+
+  return Capacity[SlotKind] +
+         static_cast<std::uint32_t>(std::max(SlotsInUse - Occupied, 0.0));
+}
+
 double Router::utilization() const {
   std::uint32_t Slots = Capacity[SlotKind];
-  return Slots == 0 ? 1.0 : static_cast<double>(SlotsInUse) / Slots;
+  return Slots == 0 ? 1.0 : Occupied / Slots;
 }
 
 std::uint32_t Router::slotsInFlight(const TargetId &Id) const {
@@ -354,7 +379,7 @@
 
   // Totals hold the earlier contribution of this target.
   std::uint32_t FreeBefore = T.FreeSlots;
-  T.FreeSlots = Slots > T.OwnSlots ? Slots - T.OwnSlots : 0;
+  T.FreeSlots = static_cast<std::uint32_t>(std::max(Slots - T.Occupied, 0.0));
   In.SlotsFree += T.FreeSlots - FreeBefore;
   In.SlotLimit += Slots - T.Limit[SlotKind];
   Capacity[SlotKind] += Slots - T.Limit[SlotKind];
@@ -364,7 +389,8 @@
 
   bool Connectable = T.OwnConnections < Connections;
   setListed(Index, Occupies::ConnectionOnly, Connectable);
-  setListed(Index, Occupies::Slot, Connectable && T.OwnSlots < Slots);
+  setListed(Index, Occupies::Slot,
+            Connectable && T.Occupied + MinWeight <= Slots);
 }
 
 std::uint32_t Router::slotLimit(Target &T, TimePoint Now) const {
@@ -544,8 +570,10 @@
   const auto &Open = In.Open[static_cast<std::size_t>(Request.Holds)];
   std::optional<RouteCandidate> Best;
   std::optional<std::uint32_t> First;
+  double Weight = weight(In, Request, Now);
   auto Consider = [&](std::uint32_t Index) {
-    if (Index == First || tried(Index, Request))
+    if (Index == First || tried(Index, Request) ||
+        !hasRoom(Targets[Index], Request, Weight))
       return false;
     RouteCandidate Found = evaluate(Index, Request, Now);
     if (!Best || Found.Estimate < Best->Estimate)
@@ -567,6 +595,22 @@
   return Best;
 }
 
+double Router::weight(const Domain &To, const RouteRequest &Request,
+                      TimePoint Now) const {
+  if (&To == &Domains.front() || !Settings.DiscountTransit)
+    return 1;
+
+  double Service = nanos(Request.ExpectedService);
+  double Total = Service + nanos(extraDelay(To, Now));
+  return Total > 0 ? std::max(Service / Total, MinWeight) : 1;
+}
+
+bool Router::hasRoom(const Target &T, const RouteRequest &Request,
+                     double Weight) const {
+  return Request.Holds == Occupies::ConnectionOnly ||
+         T.Occupied + Weight <= T.Limit[SlotKind] + RoundingSlack;
+}
+
 bool Router::tried(std::uint32_t Index, const RouteRequest &Request) const {
   return std::find(Request.Tried.begin(), Request.Tried.end(),
                    Targets[Index].Info.Id) != Request.Tried.end();
@@ -624,6 +668,9 @@
   assert(T.OwnSlots > 0 && SlotsInUse > 0);
   --T.OwnSlots;
   --SlotsInUse;
+  // Zero is set exactly, so that rounding does not add up.
+  T.Occupied = T.OwnSlots == 0 ? 0 : T.Occupied - Ticket.Weight;
+  Occupied = SlotsInUse == 0 ? 0 : Occupied - Ticket.Weight;
 }
 
 void Router::noteLoad(Target &T, const LoadReport &Load, TimePoint Now) {
