Add placement, interference, evidence and quota

Cause: the scheduler needs decisions that it can run under virtual time.

Change: pure modules with a fleet view indexed by free amount, a placer with reserve and eviction order, learned use, learned slowdown with a stepwise response, a table of failures by task and worker, and team shares.

Decision quality and cost are not measured yet.

--- /dev/null
+++ b/include/daisyspool/placement/FleetView.h
@@ -0,0 +1,222 @@
+#ifndef DAISYSPOOL_PLACEMENT_FLEETVIEW_H
+#define DAISYSPOOL_PLACEMENT_FLEETVIEW_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/core/Errors.h"
+#include "daisyspool/core/Units.h"
+#include "daisyspool/placement/BucketIndex.h"
+#include "daisyspool/placement/Handles.h"
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace daisyspool::placement {
+
+/// Classes of section 9 of the design, most urgent first.
+enum class TaskClass : std::uint8_t { Urgent, Session, Standard, Batch };
+
+enum class Dimension : std::uint8_t { Cpu, Memory, Accelerator };
+inline constexpr std::size_t DimensionCount = 3;
+
+/// A task may be evicted this often; afterwards it keeps its place.
+inline constexpr std::uint8_t MaxEvictions = 3;
+
+/// A change that would commit a VM beyond its resources; nothing changed.
+class Overcommitted : public Error {
+  using Error::Error;
+};
+
+/// Resources in 12 bytes, for tables that hold one per task.
+struct PackedResources {
+  std::int32_t Cpu = 0;
+  std::int32_t Memory = 0;
+  std::int32_t Accelerator = 0;
+
+  PackedResources() = default;
+  PackedResources(const Resources &From);
+  Resources unpacked() const;
+};
+
+/// What is known of a task before it is placed.
+struct TaskSpec {
+  Resources Declared;
+  KindIndex Kind;
+  TeamIndex Team;
+  /// Valid for tasks that a spread or affinity rule counts.
+  GroupIndex Group;
+  TaskClass Class = TaskClass::Batch;
+  /// Runs in capacity that others declared but do not use.
+  bool Reclaimable = false;
+  std::uint8_t Evictions = 0;
+};
+
+struct VmSpec {
+  Resources Capacity;
+  RackIndex Rack;
+  DomainIndex Domain;
+};
+
+/// One running task.
+struct TaskState {
+  PackedResources Declared;
+  PackedResources Held;
+  VmIndex Vm;
+  TaskIndex Next;
+  TaskIndex Previous;
+  GroupIndex Group;
+  /// Time of the start or the last checkpoint, in tenths of a second.
+  std::uint32_t SavedAt = 0;
+  KindIndex Kind;
+  TeamIndex Team;
+  TaskClass Class = TaskClass::Batch;
+  std::uint8_t Evictions = 0;
+  bool Reclaimable = false;
+
+  bool evictable() const {
+    return Class == TaskClass::Batch && Evictions < MaxEvictions;
+  }
+};
+
+/// One VM. Two sums are kept within Capacity: Firm, the declared sizes of
+/// tasks that are not reclaimable, and Held, what every task holds now.
+struct VmState {
+  Resources Capacity;
+  Resources Firm;
+  Resources Held;
+  /// Parts of Firm and Held that eviction can free.
+  Resources EvictableFirm;
+  Resources EvictableHeld;
+  RackIndex Rack;
+  DomainIndex Domain;
+  TaskIndex First;
+  std::uint32_t Tasks = 0;
+  bool Open = true;
+
+  /// Left for reclaimable tasks.
+  Resources freeHeld() const { return Capacity - Held; }
+  /// Left for tasks whose declared size is guaranteed.
+  Resources freeFirm() const;
+  /// Left after every eviction that is allowed; guaranteed tasks may find
+  /// less.
+  Resources potential() const;
+};
+
+/// The scheduler's picture of VMs and running tasks, with the indexes that let
+/// a decision look at a few VMs only. See Placer next.
+///
+/// The agent's ledger is the authority on commitments; this view refuses the
+/// same overcommitment early. Thread safety: one thread at a time.
+class FleetView {
+public:
+  FleetView() = default;
+  FleetView(const FleetView &) = delete;
+  FleetView &operator=(const FleetView &) = delete;
+
+  VmIndex addVm(const VmSpec &Spec);
+
+  /// Opens or closes a VM to new tasks: draining, quarantined or dead.
+  void setOpen(VmIndex Vm, bool Open);
+
+  /// Takes out a VM that leaves the inventory for good. Precondition: it has
+  /// no tasks. Its handle is not used again.
+  void retire(VmIndex Vm);
+
+  /// Records a started task that holds \p Held of its VM. Throws Overcommitted.
+  TaskIndex start(const TaskSpec &Spec, VmIndex Vm, const Resources &Held,
+                  TimePoint Now);
+
+  /// Precondition: \p Task is running. Its handle may be used again.
+  void stop(TaskIndex Task);
+
+  /// Changes what a running task holds. Throws Overcommitted.
+  void resize(TaskIndex Task, const Resources &Held);
+
+  void checkpointed(TaskIndex Task, TimePoint Now);
+
+  const VmState &vm(VmIndex Vm) const { return Vms[Vm.index()]; }
+  const TaskState &task(TaskIndex Task) const { return Tasks[Task.index()]; }
+  std::size_t vmCount() const { return Vms.size(); }
+  std::size_t taskCount() const { return Tasks.size() - FreeTasks.size(); }
+
+  /// Calls \p Visit with the handle and state of each task on \p Vm.
+  template <typename Visitor> void eachTask(VmIndex Vm, Visitor Visit) const {
+    for (TaskIndex T = vm(Vm).First; T.valid();) {
+      TaskIndex Next = task(T).Next;
+      Visit(T, task(T));
+      T = Next;
+    }
+  }
+
+  /// Work that stopping \p Task now would lose, in core-seconds.
+  double lostWork(TaskIndex Task, TimePoint Now) const;
+
+  /// Tasks of \p Group in a VM, rack or failure domain.
+  std::uint32_t groupOn(GroupIndex Group, VmIndex Vm) const;
+  std::uint32_t groupIn(GroupIndex Group, RackIndex Rack) const;
+  std::uint32_t groupIn(GroupIndex Group, DomainIndex Domain) const;
+
+  /// Sums over open VMs.
+  const Resources &openCapacity() const { return OpenCapacity; }
+  const Resources &openHeld() const { return OpenHeld; }
+
+  /// Distinct pairs of capacity and failure domain, and the VMs of each, open
+  /// or not, so that a check that some VM could fit needs no scan.
+  struct Shape {
+    Resources Capacity;
+    DomainIndex Domain;
+    std::uint32_t Vms = 0;
+  };
+  const std::vector<Shape> &shapes() const { return Shapes; }
+
+  /// Starts of size \p unit that fit in a failure domain, and could fit in it
+  /// when empty.
+  std::int64_t readySlots(DomainIndex Domain) const;
+  std::int64_t totalSlots(DomainIndex Domain) const;
+  std::size_t domainCount() const { return Ready.size(); }
+  const Resources &readyUnit() const { return Unit; }
+  /// Starts of the ready unit that fit in \p Free.
+  std::int64_t slotsIn(const Resources &Free) const;
+  /// Sets the size in which ready slots are counted; costs a pass over VMs.
+  void setReadyUnit(const Resources &Size);
+
+  const BucketIndex &byFreeHeld(Dimension Of) const;
+  const BucketIndex &byFreeFirm(Dimension Of) const;
+  const BucketIndex &byPotential() const { return Potential; }
+  static int levelOf(const Resources &Amount, Dimension Of);
+
+  std::size_t bytes() const;
+
+private:
+  void link(TaskIndex Task, VmIndex Vm);
+  void unlink(TaskIndex Task);
+  void account(VmIndex Vm, const TaskState &Of, const Resources &Held,
+               int Sign);
+  void countGroup(const TaskState &Of, int Sign);
+  void reindex(VmIndex Vm);
+  void withdraw(VmIndex Vm);
+  void countReady(const VmState &Of, int Sign);
+  void countShape(const VmState &Of, int Sign);
+
+  std::vector<VmState> Vms;
+  std::vector<TaskState> Tasks;
+  std::vector<TaskIndex> FreeTasks;
+  std::array<BucketIndex, DimensionCount> FreeHeld;
+  std::array<BucketIndex, DimensionCount> FreeFirm;
+  BucketIndex Potential;
+  std::unordered_map<std::uint64_t, std::uint32_t> GroupCounts;
+  std::vector<Shape> Shapes;
+  std::vector<std::int64_t> Ready;
+  std::vector<std::int64_t> Total;
+  Resources Unit{MilliCores(1000), MebiBytes(1024), Accelerators(0)};
+  Resources OpenCapacity;
+  Resources OpenHeld;
+};
+
+/// The amount of \p Of in \p From.
+std::int64_t amount(const Resources &From, Dimension Of);
+
+} // namespace daisyspool::placement
+
+#endif // DAISYSPOOL_PLACEMENT_FLEETVIEW_H
--- /dev/null
+++ b/include/daisyspool/quota/quota.h
@@ -0,0 +1,12 @@
+// The quota module: guaranteed shares of the fleet by team, borrowing of idle
+// share and its fair return. Pure.
+//
+//   QuotaLedger.h  the shares and the decisions about them
+//
+// See QuotaLedger.h next, then placement/Placer.h, which evicts borrowers.
+#ifndef DAISYSPOOL_QUOTA_QUOTA_H
+#define DAISYSPOOL_QUOTA_QUOTA_H
+
+#include "daisyspool/quota/QuotaLedger.h"
+
+#endif // DAISYSPOOL_QUOTA_QUOTA_H
--- /dev/null
+++ b/tests/interference/InterferenceTest.cpp
@@ -0,0 +1,147 @@
+#include "daisyspool/interference/interference.h"
+#include "daisyspool/core/Random.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+using namespace daisyspool::interference;
+
+namespace {
+
+constexpr KindIndex Service(0);
+constexpr KindIndex Quiet(1);
+constexpr KindIndex Noisy(2);
+constexpr VmIndex Vm(0);
+
+TimePoint at(double Seconds) {
+  return TimePoint(Millis(static_cast<std::int64_t>(Seconds * 1000)));
+}
+
+/// A service (task 0), a quiet task (1) and a noisy task (2) on one VM. The
+/// model has seen both kinds apart.
+struct Scene {
+  InterferenceModel Model;
+  ColocationHistory History{Millis(60000)};
+  NoiseResponder Responder;
+
+  Scene() {
+    for (int I = 0; I < 20; ++I) {
+      Neighbour Loud{TaskIndex(9), Noisy, 1, true};
+      Neighbour Silent{TaskIndex(8), Quiet, 1, true};
+      Model.observe(Service, LoadBand::Low, {&Loud, 1}, 3, at(0));
+      Model.observe(Service, LoadBand::Low, {&Silent, 1}, 1, at(0));
+    }
+    History.enter(Vm, TaskIndex(0), Service, at(0));
+    History.enter(Vm, TaskIndex(1), Quiet, at(0));
+    History.enter(Vm, TaskIndex(2), Noisy, at(0));
+  }
+
+  std::vector<Response> report(double Now, double Slowdown) {
+    SlowdownReport Report{Vm,       TaskIndex(0), Service,    LoadBand::Low,
+                          Slowdown, at(Now - 4),  at(Now - 2)};
+    auto Steps =
+        Responder.onReport(Report, Model, History, at(Now),
+                           [](TaskIndex Task) { return Task.index() != 0; });
+    for (const Response &Each : Steps)
+      if (Each.Do == Step::Throttle || Each.Do == Step::Release)
+        History.enter(Vm, Each.Task, Each.Task.index() == 1 ? Quiet : Noisy,
+                      at(Now), Each.Do == Step::Throttle ? 0.25 : 1);
+    return Steps;
+  }
+};
+
+} // namespace
+
+// Guards against blame for tasks that are only present beside the noise.
+TEST_CASE("the model separates the noisy kind from its neighbours") {
+  InterferenceModel Model;
+  Random Seeded(7);
+  for (int I = 0; I < 300; ++I) {
+    bool Loud = Seeded.below(2) == 0;
+    std::vector<Neighbour> Beside{{TaskIndex(1), Quiet, 1, true}};
+    if (Loud)
+      Beside.push_back({TaskIndex(2), Noisy, 1, true});
+    Model.observe(Service, LoadBand::High, Beside, Loud ? 3 : 1, at(I));
+  }
+  REQUIRE(Model.pair(Service, Noisy, LoadBand::High, at(300)).Excess > 1.6);
+  REQUIRE(Model.pair(Service, Quiet, LoadBand::High, at(300)).Excess < 0.2);
+  REQUIRE(Model.pair(Service, Noisy, LoadBand::Low, at(300)).Excess == 0);
+}
+
+// Guards against knowledge that outlives the behaviour it describes.
+TEST_CASE("unconfirmed knowledge decays by its half-life") {
+  Scene S;
+  double Before = S.Model.pair(Service, Noisy, LoadBand::Low, at(0)).Excess;
+  REQUIRE(S.Model.pair(Service, Noisy, LoadBand::Low, at(900)).Excess ==
+          Approx(Before / 2));
+}
+
+// Guards against blaming the tasks of now for a slowdown of the past.
+TEST_CASE("a late report is compared with the neighbours of its time") {
+  ColocationHistory History(Millis(60000));
+  History.enter(Vm, TaskIndex(2), Noisy, at(0));
+  History.leave(Vm, TaskIndex(2), at(10));
+  History.enter(Vm, TaskIndex(1), Quiet, at(10));
+
+  auto Then = History.during(Vm, at(5), at(10));
+  REQUIRE(Then.size() == 2);
+  REQUIRE(Then[0].Task == TaskIndex(2));
+  REQUIRE(Then[0].Presence == Approx(1));
+  REQUIRE_FALSE(Then[0].Current);
+  REQUIRE(Then[1].Presence == 0);
+}
+
+// Guards against evicting without a test of the suspicion, and against steps
+// out of order.
+TEST_CASE("noise is answered by throttle, move and stop, in this order") {
+  Scene S;
+  REQUIRE(S.report(10, 3).empty());
+  auto First = S.report(12, 3);
+  REQUIRE(First.size() == 1);
+  REQUIRE(First[0].Task == TaskIndex(2));
+  REQUIRE(First[0].Do == Step::Throttle);
+
+  // This window began before the throttle and must not be judged.
+  REQUIRE(S.report(13, 3).empty());
+  REQUIRE(S.report(18, 1.6).empty());
+  auto Second = S.report(24, 1.6);
+  REQUIRE(Second.size() == 1);
+  REQUIRE(Second[0].Do == Step::CheckpointAndMove);
+  REQUIRE(Second[0].Task == TaskIndex(2));
+  auto Third = S.report(45, 1.6);
+  REQUIRE(Third.size() == 1);
+  REQUIRE(Third[0].Do == Step::Stop);
+}
+
+// Guards against evicting a task whose throttling changed nothing.
+TEST_CASE("a suspect whose throttling does not help is released") {
+  Scene S;
+  S.report(10, 3);
+  REQUIRE(S.report(12, 3).size() == 1);
+  std::vector<Response> Steps;
+  for (double Now = 17; Now < 60; Now += 2)
+    for (const Response &Each : S.report(Now, 3))
+      Steps.push_back(Each);
+
+  REQUIRE(Steps[0].Do == Step::Release);
+  REQUIRE(Steps[0].Task == TaskIndex(2));
+  for (const Response &Each : Steps)
+    REQUIRE(Each.Do != Step::CheckpointAndMove);
+}
+
+// Guards against a throttle that outlives its reason.
+TEST_CASE("a throttle is released after calm or when its victim leaves") {
+  Scene S;
+  S.report(10, 3);
+  REQUIRE(S.report(12, 3).size() == 1);
+  REQUIRE(S.Responder.onTaskGone(Vm, TaskIndex(0)) ==
+          std::vector{TaskIndex(2)});
+
+  Scene Calm;
+  Calm.report(10, 3);
+  REQUIRE(Calm.report(12, 3).size() == 1);
+  REQUIRE(Calm.report(18, 1.1).empty());
+  auto Steps = Calm.report(73, 1.1);
+  REQUIRE(Steps.size() == 1);
+  REQUIRE(Steps[0].Do == Step::Release);
+}
