--- /dev/null
+++ b/src/config/ConfigStore.cpp
@@ -0,0 +1,266 @@
+#include "daisyspool/config/ConfigStore.h"
+
+#include "daisyspool/core/Hash.h"
+#include "daisyspool/wire/Adaptors.h"
+
+#include <cassert>
+#include <cstdio>
+
+namespace daisyspool {
+
+namespace {
+
+constexpr const char *Partition = "config";
+constexpr const char *HeadSort = "head";
+constexpr std::size_t QueryRows = 100;
+constexpr std::size_t SnapshotRowsInWrite = 10;
+/// Head, change id and history parts fit in one transaction.
+constexpr std::size_t MaxHistoryParts = 12;
+
+std::string partSort(const char *Kind, ConfigVersion Version,
+                     std::size_t Part) {
+  char Text[64];
+  std::snprintf(Text, sizeof(Text), "%s/%020llu/%03zu", Kind,
+                static_cast<unsigned long long>(Version.value()), Part);
+  return Text;
+}
+
+template <typename... Fields> std::string packed(const Fields &...Values) {
+  msgpack::sbuffer Buffer;
+  msgpack::packer<msgpack::sbuffer> To(Buffer);
+  To.pack_array(sizeof...(Fields));
+  (To.pack(Values), ...);
+  return {Buffer.data(), Buffer.size()};
+}
+
+template <typename... Fields>
+void unpackRow(const Row &From, Fields &...Values) {
+  try {
+    const auto Handle = msgpack::unpack(From.Value.data(), From.Value.size());
+    msgpack::type::define_array<Fields...> Array(Values...);
+    if (Handle.get().type != msgpack::type::ARRAY ||
+        Handle.get().via.array.size != sizeof...(Fields))
+      throw msgpack::type_error();
+    Array.msgpack_unpack(Handle.get());
+  } catch (const std::bad_cast &) {
+    throw PlatformProtocolError("unreadable row config/" + From.Key.Sort);
+  } catch (const msgpack::unpack_error &) {
+    throw PlatformProtocolError("unreadable row config/" + From.Key.Sort);
+  }
+}
+
+} // namespace
+
+ConfigConflict::ConfigConflict(ConfigVersion Expected, ConfigVersion Current)
+    : Error("change is based on version " + std::to_string(Expected.value()) +
+            ", but version " + std::to_string(Current.value()) +
+            " is in force"),
+      Expected(Expected), Current(Current) {}
+
+std::vector<std::string> ConfigStore::split(const std::string &Bytes) const {
+  std::vector<std::string> Parts;
+  for (std::size_t At = 0; At < Bytes.size(); At += Config.PartBytes)
+    Parts.push_back(Bytes.substr(At, Config.PartBytes));
+  return Parts;
+}
+
+ConfigHead ConfigStore::head() {
+  ConfigHead Head;
+  const auto Found = Table.read({Partition, HeadSort});
+  if (Found)
+    unpackRow(*Found, Head.Version, Head.Hash, Head.Snapshot,
+              Head.SnapshotParts);
+  return Head;
+}
+
+ConfigDocument ConfigStore::load() {
+  const ConfigHead Head = head();
+  std::string Bytes;
+  for (std::uint32_t Part = 0; Part < Head.SnapshotParts; ++Part) {
+    const auto Found =
+        Table.read({Partition, partSort("snapshot", Head.Snapshot, Part)});
+    if (!Found)
+      throw PlatformProtocolError("a row of the snapshot is missing");
+    Bytes += Found->Value;
+  }
+
+  ConfigDocument Document(Head.Snapshot, Bytes.empty() ? ConfigEntries()
+                                                       : decodeEntries(Bytes));
+  // Later changes may be accepted meanwhile; stop at the head that was read.
+  while (Document.version() < Head.Version) {
+    const auto Changes =
+        changesAfter(Document.version(),
+                     static_cast<std::size_t>(Head.Version.value() -
+                                              Document.version().value()));
+    if (Changes.empty())
+      throw PlatformProtocolError("a row of the history is missing");
+    for (const ConfigChange &Change : Changes)
+      Document.apply(Change);
+  }
+  if (Document.hash() != Head.Hash)
+    throw PlatformProtocolError("the history does not lead to the head");
+  return Document;
+}
+
+std::vector<ConfigChange> ConfigStore::changesAfter(ConfigVersion After,
+                                                    std::size_t Limit) {
+  std::vector<ConfigChange> Changes;
+  std::string From = partSort("history", After.next(), 0);
+  std::string Bytes;
+  while (Changes.size() < Limit) {
+    const auto Rows = Table.query(Partition, From, QueryRows);
+    for (const Row &Each : Rows) {
+      if (!Each.Key.Sort.starts_with("history/") || Changes.size() == Limit)
+        return Changes;
+      std::uint32_t Left = 0;
+      std::string Part;
+      unpackRow(Each, Left, Part);
+      Bytes += Part;
+      if (Left == 0)
+        Changes.push_back(decodeChange(std::exchange(Bytes, {})));
+    }
+    if (Rows.size() < QueryRows)
+      break;
+    // The next sort key after the last one.
+    From = Rows.back().Key.Sort + '\x01';
+  }
+  return Changes;
+}
+
+std::optional<AcceptedChange>
+ConfigStore::findAccepted(const ChangeOrigin &Origin) {
+  const auto Found = Table.read({Partition, "change/" + Origin.Id.str()});
+  if (!Found)
+    return std::nullopt;
+
+  ConfigVersion Version;
+  std::uint64_t Digest = 0;
+  unpackRow(*Found, Version, Digest);
+  if (Digest != Origin.RequestDigest)
+    throw ChangeIdReused(
+        "change id " + Origin.Id.str() + " was accepted as version " +
+        std::to_string(Version.value()) + " for another request");
+  return AcceptedChange{Version, true};
+}
+
+void ConfigStore::writeSnapshot(const ConfigDocument &Of, ConfigHead &Head) {
+  const auto Parts = split(encodeEntries(Of.entries()));
+  Transaction Writes;
+  const auto Flush = [&](std::size_t Next) {
+    Writes.Token = partSort("snapshot", Of.version(), Next);
+    Table.commit(Writes);
+    Writes.Writes.clear();
+  };
+
+  // The content of a version never changes, so racing writers write the same.
+  for (std::size_t Part = 0; Part < Parts.size(); ++Part) {
+    Writes.Writes.emplace_back(
+        PutRow{{Partition, partSort("snapshot", Of.version(), Part)},
+               Of.version().value(),
+               Parts[Part],
+               Unconditional{}});
+    if (Writes.Writes.size() == SnapshotRowsInWrite)
+      Flush(Part);
+  }
+  if (!Writes.Writes.empty())
+    Flush(Parts.size());
+
+  Head.Snapshot = Of.version();
+  Head.SnapshotParts = static_cast<std::uint32_t>(Parts.size());
+}
+
+AcceptedChange ConfigStore::propose(const ConfigDocument &Base,
+                                    const ConfigEntries &Next,
+                                    const ChangeOrigin &Origin) {
+  assert(!Origin.Id.empty());
+  if (const auto Earlier = findAccepted(Origin))
+    return *Earlier;
+
+  ConfigHead Head = head();
+  if (Head.Version != Base.version())
+    throw ConfigConflict(Base.version(), Head.Version);
+  const ConfigChange Change = Base.changeTo(Next, Origin.Id, Origin.Operator);
+  if (Change.Edits.empty())
+    return {Base.version(), false};
+  if (Base.version().value() - Head.Snapshot.value() >= Config.SnapshotEvery)
+    writeSnapshot(Base, Head);
+
+  const std::string Bytes = encodeChange(Change);
+  const auto Parts = split(Bytes);
+  if (Parts.size() > MaxHistoryParts)
+    throw SettingsError("change", 0, "size", std::to_string(Bytes.size()),
+                        "at most " +
+                            std::to_string(MaxHistoryParts * Config.PartBytes) +
+                            " bytes; split the change");
+
+  Condition OnHead = MustNotExist{};
+  if (Base.version() != ConfigVersion())
+    OnHead = MustHaveVersion{Base.version().value()};
+  Transaction Writes;
+  Writes.Token = std::to_string(
+      stableHash(Origin.Id.str() + "/" + std::to_string(Change.Version.value()),
+                 Origin.RequestDigest));
+  Writes.Writes.emplace_back(PutRow{{Partition, HeadSort},
+                                    Change.Version.value(),
+                                    packed(Change.Version, Change.HashAfter,
+                                           Head.Snapshot, Head.SnapshotParts),
+                                    OnHead});
+  Writes.Writes.emplace_back(
+      PutRow{{Partition, "change/" + Origin.Id.str()},
+             Change.Version.value(),
+             packed(Change.Version, Origin.RequestDigest),
+             MustNotExist{}});
+  for (std::size_t Part = 0; Part < Parts.size(); ++Part)
+    Writes.Writes.emplace_back(
+        PutRow{{Partition, partSort("history", Change.Version, Part)},
+               Change.Version.value(),
+               packed(static_cast<std::uint32_t>(Parts.size() - 1 - Part),
+                      Parts[Part]),
+               MustNotExist{}});
+  return commit(Writes, Change.Version, Origin);
+}
+
+AcceptedChange ConfigStore::commit(const Transaction &Writes,
+                                   ConfigVersion Version,
+                                   const ChangeOrigin &Origin) {
+  for (unsigned Attempt = 1;; ++Attempt) {
+    try {
+      return commitOnce(Writes, Version, Origin);
+    } catch (const PlatformThrottled &Problem) {
+      // The first commit may have taken effect, so this is no refusal.
+      if (Attempt > 1)
+        throw PlatformUnavailable(Problem.what());
+      throw;
+    } catch (const PlatformUnavailable &) {
+      if (const auto Earlier = readBack(Origin))
+        return {Earlier->Version, false};
+      if (Attempt >= Config.Attempts)
+        throw;
+    }
+  }
+}
+
+AcceptedChange ConfigStore::commitOnce(const Transaction &Writes,
+                                       ConfigVersion Version,
+                                       const ChangeOrigin &Origin) {
+  try {
+    Table.commit(Writes);
+    return {Version, false};
+  } catch (const ConditionFailed &) {
+    // An earlier attempt whose answer was lost may be what changed the head.
+    if (const auto Earlier = readBack(Origin))
+      return *Earlier;
+    throw ConfigConflict(ConfigVersion(Version.value() - 1), head().Version);
+  }
+}
+
+std::optional<AcceptedChange>
+ConfigStore::readBack(const ChangeOrigin &Origin) {
+  try {
+    return findAccepted(Origin);
+  } catch (const PlatformThrottled &Problem) {
+    throw PlatformUnavailable(Problem.what());
+  }
+}
+
+} // namespace daisyspool
--- /dev/null
+++ b/tests/config/ConfigStoreTest.cpp
@@ -0,0 +1,127 @@
+#include "daisyspool/config/ConfigStore.h"
+#include "config/MemoryRows.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+
+namespace {
+
+ChangeOrigin origin(const std::string &Id, std::uint64_t Digest = 1) {
+  return {ChangeId(Id), OperatorId("ada"), Digest};
+}
+
+ConfigEntries with(const ConfigDocument &Base, const std::string &Key,
+                   const std::string &Value) {
+  ConfigEntries Next = Base.entries();
+  Next[Key] = "weight=" + Value + "\n";
+  return Next;
+}
+
+} // namespace
+
+// Guards against a lost update between racing operators.
+TEST_CASE("the loser of a race gets both versions") {
+  MemoryRows Rows;
+  ConfigStore Store(Rows);
+  const ConfigDocument Base = Store.load();
+  Rows.BeforeCommit = [&] {
+    ConfigStore Other(Rows);
+    Other.propose(Base, with(Base, "team/a", "2"), origin("other"));
+  };
+
+  try {
+    Store.propose(Base, with(Base, "team/a", "1"), origin("mine"));
+    FAIL("both changes were accepted");
+  } catch (const ConfigConflict &Conflict) {
+    REQUIRE(Conflict.expected() == ConfigVersion(0));
+    REQUIRE(Conflict.current() == ConfigVersion(1));
+  }
+  REQUIRE(Store.load().entries().at("team/a") == "weight=2\n");
+}
+
+// Guards against a change that is lost or made twice when an answer is lost.
+TEST_CASE("a change whose answer is lost is made exactly once") {
+  MemoryRows Rows;
+  ConfigStore Store(Rows);
+  const ConfigDocument Base = Store.load();
+  SECTION("the answer is lost") { Rows.LoseAnswers = 1; }
+  SECTION("the request is lost") { Rows.LoseRequests = 2; }
+
+  const auto First =
+      Store.propose(Base, with(Base, "team/a", "1"), origin("one"));
+  REQUIRE(First.Version == ConfigVersion(1));
+  const ConfigDocument Next = Store.load();
+  Store.propose(Next, with(Next, "team/b", "1"), origin("two"));
+
+  const auto Repeat =
+      Store.propose(Base, with(Base, "team/a", "1"), origin("one"));
+  REQUIRE(Repeat.Repeated);
+  REQUIRE(Repeat.Version == ConfigVersion(1));
+  REQUIRE(Store.head().Version == ConfigVersion(2));
+  REQUIRE_THROWS_AS(
+      Store.propose(Base, with(Base, "team/a", "9"), origin("one", 2)),
+      ChangeIdReused);
+}
+
+// Guards against a refusal for rate that hides a change that took effect.
+TEST_CASE("a store that stays down leaves the effect unknown") {
+  MemoryRows Rows;
+  ConfigStore Store(Rows);
+  const ConfigDocument Base = Store.load();
+  Rows.BeforeCommit = [&] { Rows.Down = true; };
+  REQUIRE_THROWS_AS(
+      Store.propose(Base, with(Base, "team/a", "1"), origin("one")),
+      PlatformUnavailable);
+  Rows.Down = false;
+  REQUIRE(
+      Store.propose(Base, with(Base, "team/a", "1"), origin("one")).Version ==
+      ConfigVersion(1));
+}
+
+// Guards against rows over the store's limit and against a replay that grows
+// with the age of the store.
+TEST_CASE("documents of many parts and versions load whole") {
+  MemoryRows Rows;
+  ConfigStore Store(Rows, {4, 3, 500});
+  ConfigDocument Current;
+  for (int Round = 1; Round <= 30; ++Round) {
+    ConfigEntries Next = Current.entries();
+    for (int Vm = 0; Vm < 20; ++Vm)
+      Next["vm/" + std::to_string(Round) + "-" + std::to_string(Vm)] =
+          "rack=r" + std::to_string(Vm) + "\ncores=16\n";
+    Store.propose(Current, Next, origin(std::to_string(Round)));
+    Current = Store.load();
+    REQUIRE(Current.version().value() == static_cast<std::uint64_t>(Round));
+    REQUIRE(Current.entries() == Next);
+  }
+  Rows.Reads = 0;
+  Store.load();
+  const ConfigHead Head = Store.head();
+  REQUIRE(Head.Version.value() - Head.Snapshot.value() <= 4);
+  REQUIRE(Store.changesAfter(ConfigVersion(10), 100).size() == 20);
+}
+
+// Guards against a difference that hides what changes.
+TEST_CASE("the difference of two versions is readable") {
+  const ConfigEntries From{{"team/a", "quota_cores=4\nweight=1\n"},
+                           {"vm/x", "rack=r1\n"}};
+  const ConfigEntries To{{"team/a", "quota_cores=4\nweight=2\n"},
+                         {"vm/y", "cores=16\nrack=r1\n"}};
+  REQUIRE(describeDifference(From, To) ==
+          std::vector<std::string>{"- vm x", "~ team a: weight 1 -> 2",
+                                   "+ vm y: cores=16 rack=r1"});
+}
+
+// Guards against a copy that is silently not what the operators accepted.
+TEST_CASE("a change applies only to the version and content it follows") {
+  ConfigDocument One;
+  const auto Change =
+      One.changeTo({{"team/a", "weight=1\n"}}, ChangeId("c"), OperatorId("o"));
+  REQUIRE(decodeChange(encodeChange(Change)) == Change);
+  ConfigDocument Other(ConfigVersion(0), {{"team/b", "weight=1\n"}});
+  REQUIRE_THROWS_AS(Other.apply(Change), ConfigMismatch);
+  One.apply(Change);
+  REQUIRE_THROWS_AS(One.apply(Change), ConfigMismatch);
+  REQUIRE(One.hash() == ConfigDocument(ConfigVersion(1), One.entries()).hash());
+}
