--- a/include/daisyspool/agent/TargetFront.h
+++ b/include/daisyspool/agent/TargetFront.h
@@ -1,7 +1,6 @@
 #ifndef DAISYSPOOL_AGENT_TARGETFRONT_H
 #define DAISYSPOOL_AGENT_TARGETFRONT_H
 
-#include "daisyspool/agent/AttemptLog.h"
 #include "daisyspool/core/Clock.h"
 #include "daisyspool/http/Client.h"
 #include "daisyspool/wire/Messages.h"
@@ -9,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -17,12 +17,24 @@
 
 namespace daisyspool {
 
+/// Names one attempt across all entries and their restarts.
+struct AttemptKey {
+  ProcessId Origin;
+  Incarnation OriginIncarnation;
+  wire::AttemptId Attempt;
+
+  auto operator<=>(const AttemptKey &) const = default;
+};
+
+/// Whether a request may be sent to the target more than once.
+enum class Repeatable { Yes, No };
+
 /// Passes requests to the target within its slots and connections.
 ///
 /// A short request takes a slot and a connection, a session or feed only a
 /// connection. Requests over the slots wait in a short queue while their
-/// deadline allows; all others are refused unrun at once. Non-idempotent
-/// attempts run at most once, kept by AttemptLog.
+/// deadline allows; all others are refused unrun at once. That a non-idempotent
+/// request comes here only once is kept by RequestLedger.
 ///
 /// Thread safety: call from the I/O thread only.
 class TargetFront {
@@ -45,14 +57,12 @@
   TargetFront &operator=(const TargetFront &) = delete;
 
   /// Runs, queues or refuses \p What; \p Answer is called for each frame.
-  void serve(AttemptKey Key, wire::ServeRequest What, Reply Answer);
+  void serve(AttemptKey Key, wire::ServeRequest What, Repeatable Kind,
+             Reply Answer);
 
   /// Drops a queued attempt, or abandons the answer of a running one.
   void cancel(const AttemptKey &Key);
 
-  /// Answers what became of an attempt, now or when it ends.
-  void query(const AttemptKey &Key, Reply Answer);
-
   /// Refuses new work from now on; calls \p Done when nothing is in progress
   /// or after \p Bound, ending open streams at a frame border.
   void drain(Millis Bound, std::function<void()> Done);
@@ -75,7 +85,7 @@
               const Reply &Answer) const;
   void start(const AttemptPtr &Which);
   void startStream(const AttemptPtr &Which, http::Request Outgoing);
-  http::Request toTargetRequest(const wire::ServeRequest &What) const;
+  http::Request toTargetRequest(const Attempt &Which) const;
   void finish(const AttemptPtr &Which, wire::ServeReply Answer);
   void fail(const AttemptPtr &Which, const std::exception_ptr &Failure);
   void startQueued();
@@ -87,7 +97,6 @@
   const Clock &Time;
   Options Config;
   http::Client Target;
-  AttemptLog Log;
   boost::asio::steady_timer Expiry;
   boost::asio::steady_timer DrainTimer;
   std::map<AttemptKey, AttemptPtr> Open;
--- a/include/daisyspool/agent/agent.h
+++ b/include/daisyspool/agent/agent.h
@@ -3,7 +3,7 @@
 //
 //   AgentProcess.h  the process: its duties and their wiring
 //   TargetFront.h   requests to the target within slots and connections
-//   AttemptLog.h    which attempts were run, and with which answer
+//   TaskDuty.h      batch tasks under leases
 //   Announcer.h     makes the target known through the balancer
 //
 // See AgentProcess.h next.
@@ -12,7 +12,7 @@
 
 #include "daisyspool/agent/AgentProcess.h"
 #include "daisyspool/agent/Announcer.h"
-#include "daisyspool/agent/AttemptLog.h"
 #include "daisyspool/agent/TargetFront.h"
+#include "daisyspool/agent/TaskDuty.h"
 
 #endif // DAISYSPOOL_AGENT_AGENT_H
--- a/include/daisyspool/commitments/Orders.h
+++ b/include/daisyspool/commitments/Orders.h
@@ -162,9 +162,17 @@
 
 } // namespace daisyspool
 
-MSGPACK_ADD_ENUM(daisyspool::Refusal)
-MSGPACK_ADD_ENUM(daisyspool::HeldState)
-MSGPACK_ADD_ENUM(daisyspool::Verdict)
-MSGPACK_ADD_ENUM(daisyspool::RunState)
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::Refusal> =
+    static_cast<int>(daisyspool::Refusal::AttemptOver);
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::HeldState> =
+    static_cast<int>(daisyspool::HeldState::Failed);
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::Verdict> =
+    static_cast<int>(daisyspool::Verdict::Stop);
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::RunState> =
+    static_cast<int>(daisyspool::RunState::Unknown);
 
 #endif // DAISYSPOOL_COMMITMENTS_ORDERS_H
--- a/include/daisyspool/entry/RequestFlow.h
+++ b/include/daisyspool/entry/RequestFlow.h
@@ -8,6 +8,7 @@
 #include "daisyspool/entry/RequestMetrics.h"
 #include "daisyspool/entry/TargetPool.h"
 #include "daisyspool/http/Server.h"
+#include "daisyspool/jobs/ShardOwner.h"
 #include "daisyspool/routing/RetryBudget.h"
 #include "daisyspool/routing/Router.h"
 #include "daisyspool/telemetry/Spans.h"
@@ -39,9 +40,8 @@
 /// service's AdmissionQueue, is sent to the target that the Router chooses,
 /// and ends with the whole answer or a problem document. An idempotent request
 /// that failed is tried again elsewhere while budget and deadline allow. A
-/// non-idempotent one is sent again only if the agent said that it was not
-/// run; otherwise its agent is asked, and the outcome is unknown if that agent
-/// incarnation cannot tell.
+/// non-idempotent one is claimed in the log of its shard, which dispatches it
+/// at most once.
 ///
 /// Thread safety: call from the I/O thread only.
 class RequestFlow {
@@ -57,8 +57,15 @@
   /// Returns false if the caller takes no more.
   using FrameCallback = std::function<bool(const wire::ServeReply &)>;
 
+  /// Claims a non-idempotent request for one run on the VM and calls the
+  /// callback once. Returns false if nothing was done.
+  using ClaimSender =
+      std::function<bool(const CallerRequest &, const VmId &,
+                         std::function<void(const CallerAnswer &)>)>;
+
   RequestFlow(boost::asio::io_context &Io, const Clock &Time, Options Config,
-              TargetPool &Pool, RequestMetrics &Values, SpanExporter &Spans);
+              ClaimSender Claim, TargetPool &Pool, RequestMetrics &Values,
+              SpanExporter &Spans);
   RequestFlow(const RequestFlow &) = delete;
   RequestFlow &operator=(const RequestFlow &) = delete;
   ~RequestFlow();
@@ -96,11 +103,14 @@
   void onReply(const PooledTarget &Target, Incarnation Sender,
                wire::ServeReply Reply);
   void onServed(const FlightPtr &Which, wire::ServeReply Reply);
+  void finishServed(const FlightPtr &Which, wire::ServeReply Reply,
+                    bool Succeeded);
   void onRefused(const FlightPtr &Which, const wire::ServeReply &Reply);
   void onFailed(const FlightPtr &Which, FailureKind Kind);
   void retryOrFail(const FlightPtr &Which);
   void requeue(const FlightPtr &Which);
-  void settle(const FlightPtr &Which);
+  bool claim(const FlightPtr &Which, const PooledTarget &Target);
+  void onClaimAnswer(const FlightPtr &Which, const CallerAnswer &Answer);
   void releaseAttempt(const FlightPtr &Which);
   void finishProblem(const FlightPtr &Which, int Status, std::string Type,
                      const std::string &Detail, Execution Executed);
@@ -111,6 +121,7 @@
   boost::asio::io_context &Io;
   const Clock &Time;
   Options Config;
+  ClaimSender Claim;
   TargetPool &Pool;
   RequestMetrics &Values;
   SpanExporter &Spans;
--- a/include/daisyspool/entry/TargetPool.h
+++ b/include/daisyspool/entry/TargetPool.h
@@ -38,6 +38,8 @@
     /// The link is down or the target left; attempts sent to it are unsettled.
     std::function<void(const PooledTarget &)> OnDown;
     std::function<void(const PooledTarget &)> OnLeaving;
+    /// A target was added, replaced or removed.
+    std::function<void()> OnFleetChanged;
     std::function<void(const PooledTarget &, wire::Envelope)> OnMessage;
   };
 
@@ -55,6 +57,9 @@
   /// The target \p Id, or null.
   PooledTarget *find(const TargetId &Id);
 
+  /// The target on \p Vm, or null.
+  PooledTarget *findVm(const VmId &Vm);
+
   const std::map<TargetId, std::unique_ptr<PooledTarget>> &targets() const {
     return Targets;
   }
@@ -67,6 +72,7 @@
   Millis Expiry;
   Callbacks Hooks;
   std::map<TargetId, std::unique_ptr<PooledTarget>> Targets;
+  std::map<VmId, TargetId> ByVm;
 };
 
 } // namespace daisyspool
--- /dev/null
+++ b/include/daisyspool/entry/TaskPlacer.h
@@ -0,0 +1,53 @@
+#ifndef DAISYSPOOL_ENTRY_TASKPLACER_H
+#define DAISYSPOOL_ENTRY_TASKPLACER_H
+
+#include "daisyspool/commitments/Orders.h"
+#include "daisyspool/core/Ids.h"
+#include "daisyspool/core/Units.h"
+#include "daisyspool/jobs/JobTable.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace daisyspool {
+
+/// A VM that was announced and is not leaving.
+struct PlaceableVm {
+  VmId Vm;
+  RackId Rack;
+  FailureDomainId Domain;
+  Resources Capacity;
+};
+
+/// Chooses the VM for a task of one shard.
+///
+/// It counts what this shard has placed on each VM; what other shards placed
+/// is known only to the VM's agent, which refuses what does not fit. A VM that
+/// refused is not chosen again for a while.
+///
+/// Thread safety: one thread.
+class TaskPlacer {
+public:
+  void setFleet(std::vector<PlaceableVm> Vms);
+
+  /// Starts a round: counts what the live tasks of \p Table hold.
+  void count(const JobTable &Table);
+
+  /// The VM with a grant that keeps the largest share free after \p Need, or
+  /// nothing. Counts the task there.
+  std::optional<VmId> place(const Resources &Need,
+                            const std::map<VmId, AgentGrant> &Grants);
+
+  /// Whether some VM of the fleet could hold \p Need if it were empty. True
+  /// while no fleet is known.
+  bool couldEverFit(const Resources &Need) const;
+
+private:
+  std::map<VmId, PlaceableVm> Fleet;
+  std::map<VmId, Resources> Held;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_ENTRY_TASKPLACER_H
--- a/include/daisyspool/jobs/Events.h
+++ b/include/daisyspool/jobs/Events.h
@@ -148,8 +148,15 @@
 
 } // namespace daisyspool
 
-MSGPACK_ADD_ENUM(daisyspool::EndReason)
-MSGPACK_ADD_ENUM(daisyspool::TaskOutcome)
-MSGPACK_ADD_ENUM(daisyspool::RequestOutcome)
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::EndReason> =
+    static_cast<int>(daisyspool::EndReason::Refused);
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::TaskOutcome> =
+    static_cast<int>(daisyspool::TaskOutcome::Unrunnable);
+template <>
+inline constexpr int
+    daisyspool::wire::LastEnumerator<daisyspool::RequestOutcome> =
+        static_cast<int>(daisyspool::RequestOutcome::Unknown);
 
 #endif // DAISYSPOOL_JOBS_EVENTS_H
--- a/include/daisyspool/jobs/JobTable.h
+++ b/include/daisyspool/jobs/JobTable.h
@@ -158,6 +158,8 @@
 
 } // namespace daisyspool
 
-MSGPACK_ADD_ENUM(daisyspool::TaskPhase)
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::TaskPhase> =
+    static_cast<int>(daisyspool::TaskPhase::Ended);
 
 #endif // DAISYSPOOL_JOBS_JOBTABLE_H
--- a/include/daisyspool/jobs/ShardOwner.h
+++ b/include/daisyspool/jobs/ShardOwner.h
@@ -235,6 +235,8 @@
 
 } // namespace daisyspool
 
-MSGPACK_ADD_ENUM(daisyspool::AnswerKind)
+template <>
+inline constexpr int daisyspool::wire::LastEnumerator<daisyspool::AnswerKind> =
+    static_cast<int>(daisyspool::AnswerKind::TooLarge);
 
 #endif // DAISYSPOOL_JOBS_SHARDOWNER_H
--- a/include/daisyspool/settings/AgentSettings.h
+++ b/include/daisyspool/settings/AgentSettings.h
@@ -7,6 +7,7 @@
 #include "daisyspool/core/Units.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace daisyspool {
@@ -33,6 +34,9 @@
   std::size_t Connections = 64;
   Millis AnnounceInterval{1000};
   Millis DrainBound{30000};
+  /// Must be the same in the settings of the entries.
+  std::uint64_t Shards = 8;
+  Millis TaskLease{10000};
   std::string TraceFile;
   std::string LogLevel = "info";
 };
--- a/include/daisyspool/wire/Messages.h
+++ b/include/daisyspool/wire/Messages.h
@@ -1,6 +1,7 @@
 #ifndef DAISYSPOOL_WIRE_MESSAGES_H
 #define DAISYSPOOL_WIRE_MESSAGES_H
 
+#include "daisyspool/commitments/Orders.h"
 #include "daisyspool/core/Clock.h"
 #include "daisyspool/core/Errors.h"
 #include "daisyspool/core/Ids.h"
@@ -41,7 +42,8 @@
   MSGPACK_DEFINE_ARRAY(Sequence)
 };
 
-/// One request for one execution by the receiver's target.
+/// One idempotent request for an execution by the receiver's target. Requests
+/// that are not idempotent travel as RunOrder.
 struct ServeRequest {
   AttemptId Attempt;
   /// The agent incarnation that the sender means; zero means any. Another one
@@ -52,7 +54,6 @@
   TeamId Team;
   CallerId Caller;
   WorkClass Class = WorkClass::Standard;
-  bool Idempotent = false;
   /// A streamed answer arrives as several replies.
   bool Streamed = false;
   /// Time left to answer, as clocks are not shared.
@@ -62,8 +63,7 @@
   std::string Path;
   std::string Body;
   MSGPACK_DEFINE_ARRAY(Attempt, Receiver, Request, Service, Team, Caller, Class,
-                       Idempotent, Streamed, Remaining, Trace, Method, Path,
-                       Body)
+                       Streamed, Remaining, Trace, Method, Path, Body)
 };
 
 /// How full a target is; carried on every reply, so its cost follows traffic.
@@ -104,14 +104,12 @@
   Duplicate,
   Overloaded,
   TargetUnreachable,
-  WrongIncarnation,
-  /// The answer to a query for an attempt that was barred before it arrived.
-  NeverArrived
+  WrongIncarnation
 };
 
 template <>
 inline constexpr int LastEnumerator<RefusalReason> =
-    static_cast<int>(RefusalReason::NeverArrived);
+    static_cast<int>(RefusalReason::WrongIncarnation);
 
 /// The answer to a ServeRequest, or one frame of it.
 struct ServeReply {
@@ -135,113 +133,12 @@
   MSGPACK_DEFINE_ARRAY(Attempt)
 };
 
-/// Asks what became of an attempt whose answer did not arrive. An attempt that
-/// the receiver has not seen is refused now and whenever it arrives later.
-struct AttemptQuery {
-  ProcessId Origin;
-  Incarnation OriginIncarnation;
-  AttemptId Attempt;
-  Incarnation Receiver;
-
-  MSGPACK_DEFINE_ARRAY(Origin, OriginIncarnation, Attempt, Receiver)
-};
-
-/// Starts one attempt of a task on the receiver's VM.
-struct StartTask {
-  TaskId Task;
-  AttemptNumber Attempt;
-  ShardId Shard;
-  Epoch Owner;
-  Resources Size;
-  WorkClass Class = WorkClass::Batch;
-  std::string Command;
-  CheckpointId ResumeFrom;
-  Duration Lease{};
-  MSGPACK_DEFINE_ARRAY(Task, Attempt, Shard, Owner, Size, Class, Command,
-                       ResumeFrom, Lease)
-};
-
-struct StartTaskReply {
-  TaskId Task;
-  AttemptNumber Attempt;
-  bool Accepted = false;
-  std::string Detail;
-  MSGPACK_DEFINE_ARRAY(Task, Attempt, Accepted, Detail)
-};
-
-/// What an agent knows of one task that it holds.
-struct HeldTask {
-  TaskId Task;
-  AttemptNumber Attempt;
-  double Progress = 0;
-  Resources Used;
-  MSGPACK_DEFINE_ARRAY(Task, Attempt, Progress, Used)
-};
-
-/// Asks the owner of a shard to renew the leases of the tasks held for it.
-struct RenewLeases {
-  std::uint64_t Sequence = 0;
-  ShardId Shard;
-  std::vector<HeldTask> Held;
-  MSGPACK_DEFINE_ARRAY(Sequence, Shard, Held)
-};
-
-enum class LeaseOrder { Keep, Stop, Checkpoint, Throttle };
-
-template <>
-inline constexpr int
-    LastEnumerator<LeaseOrder> = static_cast<int>(LeaseOrder::Throttle);
-
-struct LeaseDecision {
-  TaskId Task;
-  AttemptNumber Attempt;
-  LeaseOrder Order = LeaseOrder::Keep;
-  MSGPACK_DEFINE_ARRAY(Task, Attempt, Order)
-};
-
-struct RenewLeasesReply {
-  std::uint64_t Sequence = 0;
-  ShardId Shard;
-  Epoch Owner;
-  std::vector<LeaseDecision> Decisions;
-  MSGPACK_DEFINE_ARRAY(Sequence, Shard, Owner, Decisions)
-};
-
-struct StopTask {
-  TaskId Task;
-  AttemptNumber Attempt;
-  Epoch Owner;
-  bool CheckpointFirst = false;
-  MSGPACK_DEFINE_ARRAY(Task, Attempt, Owner, CheckpointFirst)
-};
-
-enum class TaskState {
-  Running,
-  Finished,
-  Failed,
-  Stopped,
-  Checkpointed,
-  Suspended
-};
-
-template <>
-inline constexpr int
-    LastEnumerator<TaskState> = static_cast<int>(TaskState::Suspended);
-
-/// Reports a change of a task's state; repeated until acknowledged.
-struct TaskStatus {
-  TaskId Task;
-  AttemptNumber Attempt;
-  TaskState State = TaskState::Running;
-  int ExitCode = 0;
-  CheckpointId Checkpoint;
-  MSGPACK_DEFINE_ARRAY(Task, Attempt, State, ExitCode, Checkpoint)
-};
+/// Tells an agent which shards the sending entry owns, so that it renews the
+/// leases of a shard's tasks there. Sent when a link comes up and on a change.
+struct ShardNotice {
+  std::vector<ShardId> Owned;
 
-struct TaskStatusAck {
-  TaskId Task;
-  AttemptNumber Attempt;
-  MSGPACK_DEFINE_ARRAY(Task, Attempt)
+  MSGPACK_DEFINE_ARRAY(Owned)
 };
 
 /// A caller's request passed to the entry that owns the shard of its id.
@@ -265,9 +162,9 @@
 
 using Message =
     std::variant<Heartbeat, HeartbeatReply, ServeRequest, ServeReply,
-                 CancelAttempt, AttemptQuery, StartTask, StartTaskReply,
-                 RenewLeases, RenewLeasesReply, StopTask, TaskStatus,
-                 TaskStatusAck, ForwardRequest, ForwardReply>;
+                 CancelAttempt, ForwardRequest, ForwardReply, ShardNotice,
+                 StartOrder, StartReply, StopOrder, StopReply, RenewalRequest,
+                 RenewalReply, RunOrder, QueryOrder, RequestReport>;
 
 /// A message with the fields that every message carries.
 struct Envelope {
--- a/include/daisyspool/worker/Worker.h
+++ b/include/daisyspool/worker/Worker.h
@@ -34,7 +34,7 @@
   std::optional<CheckpointId> ResumeFrom;
 };
 
-enum class TaskPhase {
+enum class WorkerTaskPhase {
   Running,
   /// Throttled to zero, or its lease has lapsed.
   Suspended,
@@ -44,13 +44,13 @@
 };
 
 /// The value of the field `phase` on the wire.
-const char *toString(TaskPhase Phase);
-std::optional<TaskPhase> parseTaskPhase(const std::string &Text);
+const char *toString(WorkerTaskPhase Phase);
+std::optional<WorkerTaskPhase> parseTaskPhase(const std::string &Text);
 
 /// A task as the worker knows it. Ended tasks are listed until acknowledged.
 struct WorkerTask {
   TaskAttempt Which;
-  TaskPhase Phase = TaskPhase::Running;
+  WorkerTaskPhase Phase = WorkerTaskPhase::Running;
   /// Meaningful when Finished or Failed.
   int ExitCode = 0;
   PerMille Share = FullShare;
--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -2,11 +2,15 @@
 
 #include "daisyspool/agent/Announcer.h"
 #include "daisyspool/agent/TargetFront.h"
+#include "daisyspool/agent/TaskDuty.h"
+#include "daisyspool/commitments/RequestLedger.h"
 #include "daisyspool/http/Server.h"
 #include "daisyspool/process/DutySet.h"
 #include "daisyspool/telemetry/Log.h"
 #include "daisyspool/telemetry/Metrics.h"
 #include "daisyspool/transport/Listener.h"
+#include "daisyspool/wire/ForwardedCall.h"
+#include "daisyspool/worker/HttpWorker.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,6 +19,9 @@
 
 #include <chrono>
 #include <csignal>
+#include <map>
+#include <memory>
+#include <optional>
 
 namespace daisyspool {
 
@@ -26,17 +33,29 @@
 /// connections, and the announcements.
 class FrontDuty {
 public:
-  FrontDuty(asio::io_context &Io, const AgentSettings &Settings,
-            const Clock &Time)
-      : Settings(Settings), Self{Settings.Process,
-                                 Incarnation(static_cast<std::uint64_t>(
-                                     Time.wallNow().count()))},
+  FrontDuty(asio::io_context &Io, asio::io_context &TaskIo,
+            const AgentSettings &Settings, const Clock &Time)
+      : Settings(Settings),
+        Time(Time), Self{Settings.Process,
+                         Incarnation(static_cast<std::uint64_t>(
+                             Time.wallNow().count()))},
         Front(Io, Time,
               {Settings.Service, Settings.Target, Settings.Slots,
                Settings.Connections, 2 * Settings.Slots}),
-        Links(Io, {Settings.Links}, Self, callbacks()), LeaveTimer(Io),
-        Announce(Io, Settings.Balancer, announcement(),
-                 Settings.AnnounceInterval),
+        Ledger(Settings.Vm, Self.Number, ledgerSettings()),
+        Links(Io, {Settings.Links}, Self, callbacks()),
+        Outputs(std::make_shared<Inbox<TaskOutput>>(
+            Io, OutputRingCapacity,
+            [this](TaskOutput What) { sendToOwner(What); })),
+        Tasks(TaskIo, Time,
+              {Settings.Vm, Self.Number, Settings.Capacity, Settings.Shards,
+               Settings.TaskLease},
+              std::make_unique<HttpWorker>(
+                  HttpWorker::Options{Settings.Worker, Settings.TaskLease / 10},
+                  Time),
+              [this](TaskOutput What) { Outputs->tryPush(What); }),
+        LeaveTimer(Io), Announce(Io, Settings.Balancer, announcement(),
+                                 Settings.AnnounceInterval),
         MetricsPort(Io, metricsOptions(),
                     [this](http::Request Received,
                            std::shared_ptr<http::Exchange> Answer) {
@@ -59,6 +78,10 @@
   // which must be refused as not run rather than lost. It also lets the last
   // answers leave nng's buffers.
   static constexpr Millis LeaveGrace{3000};
+  // A claimed request is not cut off at its caller's deadline, as its outcome
+  // must be known for a caller that asks again.
+  static constexpr std::chrono::minutes RunLimit{30};
+  static constexpr std::size_t OutputRingCapacity = 4096;
 
   void finishLeaving(const std::function<void()> &Done) {
     LeaveTimer.expires_at(LeavingSince + LeaveGrace);
@@ -86,25 +109,25 @@
     AttemptKey Key{What.From, What.Sender, {}};
     if (auto *Request = std::get_if<wire::ServeRequest>(&What.Content)) {
       if (!meantForMe(Request->Receiver))
-        return refuseIncarnation(Request->Attempt, wire::ServeOutcome::Refused,
-                                 From);
+        return refuseIncarnation(Request->Attempt, From);
       Key.Attempt = Request->Attempt;
       RequestsTotal.Increment();
-      return Front.serve(std::move(Key), std::move(*Request),
+      return Front.serve(std::move(Key), std::move(*Request), Repeatable::Yes,
                          replyTo(std::move(From)));
     }
     if (const auto *Cancel = std::get_if<wire::CancelAttempt>(&What.Content)) {
       Key.Attempt = Cancel->Attempt;
       return Front.cancel(Key);
     }
-    if (const auto *Query = std::get_if<wire::AttemptQuery>(&What.Content)) {
-      // An earlier incarnation may have run the attempt.
-      if (!meantForMe(Query->Receiver))
-        return refuseIncarnation(Query->Attempt, wire::ServeOutcome::Failed,
-                                 From);
-      return Front.query(
-          {Query->Origin, Query->OriginIncarnation, Query->Attempt},
-          replyTo(std::move(From)));
+    if (routeToTasks(What))
+      return;
+    if (const auto *Notice = std::get_if<wire::ShardNotice>(&What.Content))
+      return noteOwner(*Notice, From);
+    if (const auto *Order = std::get_if<RunOrder>(&What.Content))
+      return runOnce(*Order, std::move(From));
+    if (const auto *Query = std::get_if<QueryOrder>(&What.Content)) {
+      send(From, Ledger.query(*Query, Time.now()));
+      return;
     }
 
     LogEvent(LogLevel::Warning, "unexpected_message")
@@ -116,14 +139,93 @@
     return Receiver == Incarnation{} || Receiver == Self.Number;
   }
 
-  void refuseIncarnation(wire::AttemptId Attempt, wire::ServeOutcome Outcome,
-                         const ReplyPath &To) {
+  void refuseIncarnation(wire::AttemptId Attempt, const ReplyPath &To) {
     wire::ServeReply Refusal;
     Refusal.Attempt = Attempt;
-    Refusal.Outcome = Outcome;
+    Refusal.Outcome = wire::ServeOutcome::Refused;
     Refusal.Reason = wire::RefusalReason::WrongIncarnation;
     Refusal.Load = Front.load();
-    Links.reply(To, {Self.Process, Self.Number, {}, Refusal});
+    send(To, Refusal);
+  }
+
+  template <typename Content> void send(const ReplyPath &To, Content What) {
+    if (!Links.reply(To, {Self.Process, Self.Number, {}, std::move(What)}))
+      LogEvent(LogLevel::Warning, "reply_dropped")
+          .with("type",
+                static_cast<std::int64_t>(wire::Message(Content{}).index()));
+  }
+
+  /// Passes an order for tasks to the duty that runs them. A full ring drops
+  /// it; owners repeat their orders.
+  bool routeToTasks(const wire::Envelope &What) {
+    std::optional<TaskInput> Order;
+    if (const auto *Start = std::get_if<StartOrder>(&What.Content))
+      Order = *Start;
+    if (const auto *Stop = std::get_if<StopOrder>(&What.Content))
+      Order = *Stop;
+    if (const auto *Reply = std::get_if<RenewalReply>(&What.Content))
+      Order = *Reply;
+    if (!Order)
+      return false;
+
+    Tasks.input()->tryPush(*Order);
+    return true;
+  }
+
+  void noteOwner(const wire::ShardNotice &Notice, const ReplyPath &From) {
+    for (ShardId Shard : Notice.Owned)
+      Owners[Shard] = From;
+  }
+
+  /// Sends what the task duty has for the owner of a shard.
+  void sendToOwner(const TaskOutput &What) {
+    std::visit(
+        [this](const auto &Each) {
+          auto Owner = Owners.find(Each.Shard);
+          if (Owner != Owners.end())
+            send(Owner->second, Each);
+        },
+        What);
+  }
+
+  /// Runs a claimed request if the ledger has not seen it.
+  void runOnce(const RunOrder &Order, ReplyPath From) {
+    if (auto Known = Ledger.admit(Order, Time.now()))
+      return send(From, *Known);
+
+    wire::ServeRequest What;
+    try {
+      wire::ForwardedCall Call = wire::decodeCall(Order.Body);
+      What.Method = std::move(Call.Method);
+      What.Path = std::move(Call.Path);
+      What.Body = std::move(Call.Body);
+    } catch (const ProtocolError &Problem) {
+      LogEvent(LogLevel::Warning, "protocol_error")
+          .with("detail", Problem.what());
+      return send(From, Ledger.finish(Order.Request, RunState::NotRun, 0, {},
+                                      Time.now()));
+    }
+    What.Attempt = wire::AttemptId(++RunNumber);
+    What.Request = Order.Request;
+    What.Service = Order.Service;
+    What.Remaining = RunLimit;
+    AttemptKey Key{Self.Process, Self.Number, What.Attempt};
+    Front.serve(Key, std::move(What), Repeatable::No,
+                [this, Request = Order.Request,
+                 From = std::move(From)](const wire::ServeReply &Answer) {
+                  finishOnce(Request, Answer, From);
+                });
+  }
+
+  void finishOnce(const RequestId &Request, const wire::ServeReply &Answer,
+                  const ReplyPath &From) {
+    RunState State = RunState::Unknown;
+    if (Answer.Outcome == wire::ServeOutcome::Served)
+      State = RunState::Answered;
+    if (Answer.Outcome == wire::ServeOutcome::Refused)
+      State = RunState::NotRun;
+    send(From,
+         Ledger.finish(Request, State, Answer.Status, Answer.Body, Time.now()));
   }
 
   TargetFront::Reply replyTo(ReplyPath From) {
@@ -181,7 +283,16 @@
         {200, {{"Content-Type", "text/plain; version=0.0.4"}}, Values.text()});
   }
 
+  RequestLedgerSettings ledgerSettings() const {
+    RequestLedgerSettings Result;
+    // Beyond the slots a request may wait in the front's queue.
+    Result.Slots = 3 * Settings.Slots;
+    Result.TaskLease = Settings.TaskLease;
+    return Result;
+  }
+
   const AgentSettings &Settings;
+  const Clock &Time;
   Listener::Identity Self;
   Metrics Values;
   prometheus::Counter &RequestsTotal = Values.counter(
@@ -191,7 +302,12 @@
   prometheus::Gauge &OpenConnections = Values.gauge(
       "daisyspool_target_connections", "Connections to the target in use");
   TargetFront Front;
+  RequestLedger Ledger;
+  std::map<ShardId, ReplyPath> Owners;
+  std::uint64_t RunNumber = 0;
   Listener Links;
+  std::shared_ptr<Inbox<TaskOutput>> Outputs;
+  TaskDuty Tasks;
   asio::steady_timer LeaveTimer;
   std::chrono::steady_clock::time_point LeavingSince;
   Announcer Announce;
@@ -204,13 +320,16 @@
   startLog(Settings.Process.str(), parseLogLevel(Settings.LogLevel));
   SystemClock Time;
   asio::io_context Io(1);
-  FrontDuty Front(Io, Settings, Time);
+  asio::io_context TaskIo(1);
+  FrontDuty Front(Io, TaskIo, Settings, Time);
   asio::signal_set Signals(Io, SIGTERM, SIGINT);
   DutySet Duties;
   Signals.async_wait([&](boost::system::error_code Failure, int) {
     if (!Failure)
       Front.drain([&] { Duties.requestStop(); });
   });
+  Duties.add(
+      "tasks", [&] { TaskIo.run(); }, [&] { TaskIo.stop(); });
   Duties.add(
       "front", [&] { Io.run(); }, [&] { Io.stop(); });
   LogEvent(LogLevel::Info, "agent_started")
--- a/src/agent/TargetFront.cpp
+++ b/src/agent/TargetFront.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// Longer than a message of a closed connection can stay in the network.
-constexpr std::chrono::minutes AttemptRetention{10};
 constexpr Millis ExpiryInterval{20};
 constexpr Millis OutcomeGrace{60000};
 constexpr Millis LongestRequest{3600000};
@@ -27,6 +25,7 @@
 struct TargetFront::Attempt {
   AttemptKey Key;
   wire::ServeRequest What;
+  Repeatable Kind = Repeatable::Yes;
   Reply Answer;
   TimePoint Arrived;
   TimePoint Deadline;
@@ -39,8 +38,8 @@
 TargetFront::TargetFront(boost::asio::io_context &Io, const Clock &Time,
                          Options Config)
     : Time(Time), Config(std::move(Config)),
-      Target(Io, {this->Config.Target, this->Config.Connections}),
-      Log(AttemptRetention), Expiry(Io), DrainTimer(Io) {
+      Target(Io, {this->Config.Target, this->Config.Connections}), Expiry(Io),
+      DrainTimer(Io) {
   scheduleExpiry();
 }
 
@@ -71,18 +70,18 @@
   Answer(Refusal);
 }
 
-void TargetFront::serve(AttemptKey Key, wire::ServeRequest What, Reply Answer) {
+void TargetFront::serve(AttemptKey Key, wire::ServeRequest What,
+                        Repeatable Kind, Reply Answer) {
   if (Open.contains(Key))
     return refuse(Key, wire::RefusalReason::Duplicate, Answer);
   if (auto Reason = admit(What); Reason != wire::RefusalReason::None)
     return refuse(Key, Reason, Answer);
-  if (!What.Idempotent && !Log.begin(Key))
-    return refuse(Key, wire::RefusalReason::Duplicate, Answer);
 
   auto Created = std::make_shared<Attempt>();
   Created->Key = std::move(Key);
   Created->Arrived = Time.now();
   Created->Deadline = Created->Arrived + What.Remaining;
+  Created->Kind = Kind;
   Created->What = std::move(What);
   Created->Answer = std::move(Answer);
   Open.emplace(Created->Key, Created);
@@ -92,15 +91,15 @@
   Queue.push_back(Created);
 }
 
-http::Request
-TargetFront::toTargetRequest(const wire::ServeRequest &What) const {
+http::Request TargetFront::toTargetRequest(const Attempt &Which) const {
+  const wire::ServeRequest &What = Which.What;
   http::Request Outgoing{What.Method, What.Path, {}, What.Body};
   Outgoing.Headers.push_back({"Daisyspool-Request-Id", What.Request.str()});
   Outgoing.Headers.push_back(
       {"Daisyspool-Class", std::string(toString(What.Class))});
   if (!What.Trace.TraceId.empty())
     Outgoing.Headers.push_back({"traceparent", toTraceParent(What.Trace)});
-  if (!What.Idempotent)
+  if (Which.Kind == Repeatable::No)
     Outgoing.Headers.push_back({"Idempotency-Key", What.Request.str()});
 
   return Outgoing;
@@ -108,7 +107,7 @@
 
 void TargetFront::start(const AttemptPtr &Which) {
   Which->Started = true;
-  http::Request Outgoing = toTargetRequest(Which->What);
+  http::Request Outgoing = toTargetRequest(*Which);
   if (Which->What.Streamed)
     return startStream(Which, std::move(Outgoing));
 
@@ -116,8 +115,8 @@
   ++Holdings[Which->Key.Origin].Slots;
   // Closing the connection would not undo a non-idempotent request; waiting
   // longer learns its outcome for a caller that asks again.
-  Duration Grace =
-      Which->What.Idempotent ? Duration::zero() : Duration(OutcomeGrace);
+  Duration Grace = Which->Kind == Repeatable::Yes ? Duration::zero()
+                                                  : Duration(OutcomeGrace);
   Millis Timeout = toMillis(Which->Deadline - Time.now() + Grace);
   Target.send(
       std::move(Outgoing), Timeout,
@@ -193,8 +192,6 @@
   Open.erase(Which->Key);
   startQueued();
   Answer.Load = loadFor(*Which);
-  if (!Which->What.Idempotent)
-    Log.finish(Which->Key, Answer, Time.now());
   if (!Which->Cancelled)
     Which->Answer(Answer);
 
@@ -232,7 +229,6 @@
     Refusal.Reason = wire::RefusalReason::DeadlineTooClose;
     finish(Each, std::move(Refusal));
   }
-  Log.expire(Time.now());
 }
 
 void TargetFront::scheduleExpiry() {
@@ -262,25 +258,6 @@
   finish(Which, std::move(Dropped));
 }
 
-void TargetFront::query(const AttemptKey &Key, Reply Answer) {
-  auto Found = Open.find(Key);
-  if (Found != Open.end()) {
-    // The connection that asked replaces the one that was lost.
-    Found->second->Answer = std::move(Answer);
-    return;
-  }
-
-  wire::ServeReply Result;
-  Result.Attempt = Key.Attempt;
-  Result.Outcome = wire::ServeOutcome::Refused;
-  Result.Reason = wire::RefusalReason::NeverArrived;
-  auto State = Log.query(Key, Time.now());
-  if (const auto *Ended = std::get_if<AttemptLog::Finished>(&State))
-    Result = Ended->Answer;
-  Result.Load = load(Key.Origin);
-  Answer(Result);
-}
-
 void TargetFront::drain(Millis Bound, std::function<void()> Done) {
   Draining = true;
   OnDrained = std::move(Done);
--- a/src/entry/CallerPort.cpp
+++ b/src/entry/CallerPort.cpp
@@ -67,9 +67,9 @@
 
 CallerPort::CallerPort(boost::asio::io_context &Io,
                        const EntrySettings &Settings, Incarnation Number,
-                       TargetPool &Pool, RequestFlow &Flow,
+                       TargetPool &Pool, RequestFlow &Flow, JobPort &Jobs,
                        RequestMetrics &Values)
-    : Settings(Settings), Pool(Pool), Flow(Flow), Values(Values),
+    : Settings(Settings), Pool(Pool), Flow(Flow), Jobs(Jobs), Values(Values),
       Source(stableHash(Settings.Process.str(), Number.value())),
       Port(
           Io, portOptions(Settings),
@@ -90,6 +90,8 @@
 void CallerPort::handle(http::Request Received, ExchangePtr Answer) {
   if (isServicePath(Received.Target))
     return handleService(std::move(Received), Answer);
+  if (JobPort::handles(Received.Target))
+    return Jobs.handle(std::move(Received), Answer);
   if (Received.Target == "/v1/announce" && Received.Method == "POST")
     return handleAnnouncement(Received, *Answer);
   if (Received.Target == "/healthz")
@@ -118,6 +120,12 @@
 
 void CallerPort::handleService(http::Request Received,
                                const ExchangePtr &Answer) {
+  // Only the owner of the shard of its id may run a non-idempotent request.
+  auto Key = http::findHeader(Received.Headers, "Idempotency-Key");
+  if (Key &&
+      Jobs.forwardOrRefuse(*Key, Received, Settings.DefaultDeadline, Answer))
+    return;
+
   CallerRequest What;
   try {
     What = parseCallerRequest(std::move(Received), Settings.DefaultDeadline,
@@ -142,8 +150,8 @@
     if (!Result.Problem)
       State->Answer->endStream();
   };
-  std::uint64_t Key = Flow.start(std::move(What), OnFrame, OnDone);
-  Answer->onCallerLeft([this, Key] { Flow.cancel(Key); });
+  std::uint64_t Started = Flow.start(std::move(What), OnFrame, OnDone);
+  Answer->onCallerLeft([this, Started] { Flow.cancel(Started); });
 }
 
 } // namespace daisyspool
--- a/src/entry/CallerPort.h
+++ b/src/entry/CallerPort.h
@@ -8,6 +8,7 @@
 #include "daisyspool/entry/TargetPool.h"
 #include "daisyspool/http/Server.h"
 #include "daisyspool/settings/EntrySettings.h"
+#include "entry/JobPort.h"
 
 #include <functional>
 #include <memory>
@@ -18,16 +19,18 @@
 public:
   CallerPort(boost::asio::io_context &Io, const EntrySettings &Settings,
              Incarnation Number, TargetPool &Pool, RequestFlow &Flow,
-             RequestMetrics &Values);
+             JobPort &Jobs, RequestMetrics &Values);
   CallerPort(const CallerPort &) = delete;
   CallerPort &operator=(const CallerPort &) = delete;
 
   void drain(std::function<void()> Done);
 
+  /// Handles a request from a caller, or one that another entry passed on.
+  void handle(http::Request Received, std::shared_ptr<http::Exchange> Answer);
+
 private:
   using ExchangePtr = std::shared_ptr<http::Exchange>;
 
-  void handle(http::Request Received, ExchangePtr Answer);
   void handleAnnouncement(const http::Request &Received,
                           http::Exchange &Answer);
   void handleService(http::Request Received, const ExchangePtr &Answer);
@@ -35,6 +38,7 @@
   const EntrySettings &Settings;
   TargetPool &Pool;
   RequestFlow &Flow;
+  JobPort &Jobs;
   RequestMetrics &Values;
   Random Source;
   http::Server Port;
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -1,14 +1,20 @@
 #include "daisyspool/entry/EntryProcess.h"
 
+#include "daisyspool/entry/PeerLinks.h"
 #include "daisyspool/entry/RequestFlow.h"
 #include "daisyspool/entry/RequestMetrics.h"
+#include "daisyspool/entry/ShardGateway.h"
 #include "daisyspool/entry/TargetPool.h"
 #include "daisyspool/http/Server.h"
+#include "daisyspool/platform/DynamoTable.h"
+#include "daisyspool/platform/S3Objects.h"
 #include "daisyspool/process/DutySet.h"
 #include "daisyspool/telemetry/Log.h"
 #include "daisyspool/telemetry/Metrics.h"
 #include "daisyspool/telemetry/Spans.h"
+#include "daisyspool/wire/ForwardedCall.h"
 #include "entry/CallerPort.h"
+#include "entry/JobPort.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -33,9 +39,18 @@
               Incarnation Number, const Clock &Time, Metrics &Values)
       : Requests(Values), Spans(Settings.TraceFile, Settings.Process.str()),
         Pool(Io, Time, TargetExpiry, poolCallbacks()),
-        Flow(Io, Time, {Settings.Process, Number, Settings.FailureDomain}, Pool,
-             Requests, Spans),
-        Port(Io, Settings, Number, Pool, Flow, Requests), ExpiryTimer(Io) {
+        Shards(Io, Time, shardOptions(Settings, Number), Pool,
+               tableFactory(Settings, Time), objectFactory(Settings, Time)),
+        Peers(Io, {Settings.Peers, Settings.Process, Number},
+              [this](http::Request Received,
+                     std::shared_ptr<http::Exchange> Answer) {
+                Port.handle(std::move(Received), std::move(Answer));
+              }),
+        Flow(Io, Time, {Settings.Process, Number, Settings.FailureDomain},
+             claimSender(), Pool, Requests, Spans),
+        Jobs(Shards, Peers, Number.value()),
+        Port(Io, Settings, Number, Pool, Flow, Jobs, Requests),
+        ExpiryTimer(Io) {
     scheduleExpiry();
   }
 
@@ -45,10 +60,62 @@
     Port.drain(std::move(Done));
   }
 
+  std::vector<asio::io_context *> shardContexts() {
+    return Shards.shardContexts();
+  }
+
 private:
+  static ShardGateway::Options shardOptions(const EntrySettings &Settings,
+                                            Incarnation Number) {
+    ProcessId Life(Settings.Process.str() + "@" +
+                   std::to_string(Number.value()));
+    return {Life,
+            Number,
+            http::toString(Settings.Peers),
+            Settings.Shards,
+            Settings.ShardLease,
+            Settings.TaskLease};
+  }
+
+  static ShardGateway::TableFactory tableFactory(const EntrySettings &Settings,
+                                                 const Clock &Time) {
+    return [&Settings, &Time] {
+      DynamoTable::Options Config{Settings.Table};
+      return std::make_unique<DynamoTable>(Config, Time);
+    };
+  }
+
+  static ShardGateway::ObjectFactory
+  objectFactory(const EntrySettings &Settings, const Clock &Time) {
+    return [&Settings, &Time] {
+      S3Objects::Options Config{Settings.Objects};
+      return std::make_unique<S3Objects>(Config, Time);
+    };
+  }
+
+  RequestFlow::ClaimSender claimSender() {
+    return [this](const CallerRequest &What, const VmId &Vm,
+                  std::function<void(const CallerAnswer &)> OnAnswer) {
+      ShardId Shard = Shards.shardOf(What.Id.str());
+      if (!Shards.owns(Shard))
+        return false;
+
+      ClaimForward Claim;
+      Claim.Request = What.Id;
+      Claim.Caller = What.Caller;
+      Claim.Service = What.Service;
+      Claim.Body = wire::encodeCall({What.Method, What.Path, What.Body});
+      return Shards.claim(std::move(Claim), Vm, std::move(OnAnswer)) != 0;
+    };
+  }
+
   TargetPool::Callbacks poolCallbacks() {
     TargetPool::Callbacks Hooks;
-    Hooks.OnUp = [this](const PooledTarget &Which) { Flow.onTargetUp(Which); };
+    Hooks.OnUp = [this](const PooledTarget &Which) {
+      Flow.onTargetUp(Which);
+      Shards.onTargetUp(Which);
+    };
+    Hooks.OnFleetChanged = [this] { Shards.onFleetChanged(); };
     Hooks.OnDown = [this](const PooledTarget &Which) {
       Flow.onTargetDown(Which);
     };
@@ -56,6 +123,7 @@
       Flow.onTargetLeaving(Which);
     };
     Hooks.OnMessage = [this](const PooledTarget &Which, wire::Envelope What) {
+      Shards.onAgentMessage(What);
       Flow.onMessage(Which, std::move(What));
     };
     return Hooks;
@@ -67,6 +135,9 @@
       if (Failure)
         return;
       Pool.expire();
+      for (const auto &[Id, View] : Shards.views())
+        if (std::string Owner = Shards.otherOwner(Id); !Owner.empty())
+          Peers.prepare(Owner);
       scheduleExpiry();
     });
   }
@@ -74,7 +145,10 @@
   RequestMetrics Requests;
   SpanExporter Spans;
   TargetPool Pool;
+  ShardGateway Shards;
+  PeerLinks Peers;
   RequestFlow Flow;
+  JobPort Jobs;
   CallerPort Port;
   asio::steady_timer ExpiryTimer;
 };
@@ -134,6 +208,9 @@
   });
   Duties.add(
       "requests", [&] { RequestIo.run(); }, [&] { RequestIo.stop(); });
+  for (asio::io_context *Shard : Requests.shardContexts())
+    Duties.add(
+        "shard", [Shard] { Shard->run(); }, [Shard] { Shard->stop(); });
   Duties.add(
       "operators", [&] { OperatorIo.run(); }, [&] { OperatorIo.stop(); });
   LogEvent(LogLevel::Info, "entry_started")
--- a/src/entry/RequestFlow.cpp
+++ b/src/entry/RequestFlow.cpp
@@ -35,7 +35,7 @@
   Flight(boost::asio::io_context &Io, CallerRequest What)
       : What(std::move(What)), Deadline(Io) {}
 
-  enum class Phase { Queued, Sent, Settling, Ended };
+  enum class Phase { Queued, Sent, Claimed, Ended };
 
   std::uint64_t Key = 0;
   CallerRequest What;
@@ -61,11 +61,12 @@
 };
 
 RequestFlow::RequestFlow(boost::asio::io_context &Io, const Clock &Time,
-                         Options Config, TargetPool &Pool,
+                         Options Config, ClaimSender Claim, TargetPool &Pool,
                          RequestMetrics &Values, SpanExporter &Spans)
-    : Io(Io), Time(Time), Config(std::move(Config)), Pool(Pool), Values(Values),
-      Spans(Spans), Source(stableHash(this->Config.Process.str(),
-                                      this->Config.Number.value())),
+    : Io(Io), Time(Time), Config(std::move(Config)), Claim(std::move(Claim)),
+      Pool(Pool), Values(Values), Spans(Spans),
+      Source(
+          stableHash(this->Config.Process.str(), this->Config.Number.value())),
       LateTimer(Io) {
   scheduleDropLate();
 }
@@ -159,7 +160,10 @@
     if (Which->Attempts > 1)
       Values.extraAttempt();
     PooledTarget *Target = Pool.find(*Chosen);
-    if (Target != nullptr && sendTo(Which, *Target)) {
+    bool Sent =
+        Target != nullptr && (Which->What.Idempotent ? sendTo(Which, *Target)
+                                                     : claim(Which, *Target));
+    if (Sent) {
       Which->Ticket = Ticket;
       return true;
     }
@@ -180,7 +184,6 @@
   Message.Team = What.Team;
   Message.Caller = What.Caller;
   Message.Class = What.Class;
-  Message.Idempotent = What.Idempotent;
   Message.Streamed = What.Streamed;
   Message.Remaining = Which->ExpiresAt - Time.now();
   Message.Trace = {What.Trace.TraceId, Which->SpanId, What.Trace.Sampled};
@@ -273,7 +276,9 @@
   if (Which->What.Streamed && Which->NextFrame > 0)
     return;
 
-  if (PooledTarget *Target = Pool.find(Which->SentTo))
+  // A claimed request goes on, and its answer is kept for the next try.
+  PooledTarget *Target = Pool.find(Which->SentTo);
+  if (Target != nullptr && Which->State == Flight::Phase::Sent)
     Target->Connection->send({Config.Process,
                               Config.Number,
                               {},
@@ -308,12 +313,7 @@
   In.Routes.addTarget({Target.Id, Target.About.FailureDomain,
                        Target.About.Slots, Target.About.Connections},
                       Time.now(), In.Routes.targetCount() == 0);
-  std::vector<FlightPtr> Unsettled;
-  for (auto &[Key, Each] : Flights)
-    if (Each->State == Flight::Phase::Settling && Each->SentTo == Target.Id)
-      Unsettled.push_back(Each);
-  for (const FlightPtr &Each : Unsettled)
-    settle(Each);
+
   pump(In);
 }
 
@@ -386,14 +386,19 @@
       Which->In->Routes.onFailure(*Which->Ticket, FailureKind::Error, Now);
     Which->Ticket.reset();
   }
-  if (!Succeeded && Which->What.Idempotent && !Which->What.Streamed &&
-      Which->Attempts < MaxAttempts) {
+  if (!Succeeded && !Which->What.Streamed && Which->Attempts < MaxAttempts) {
     ByAttempt.erase(Which->Attempt.value());
     Which->Tried.push_back(Which->SentTo);
     Which->NextFrame = 0;
     if (dispatch(Which, AttemptKind::Retry))
       return;
   }
+  finishServed(Which, std::move(Reply), Succeeded);
+}
+
+void RequestFlow::finishServed(const FlightPtr &Which, wire::ServeReply Reply,
+                               bool Succeeded) {
+  TimePoint Now = Time.now();
   if (Which->Held)
     Which->In->Queue.onDone(*std::exchange(Which->Held, std::nullopt),
                             Now - Which->SentAt, Succeeded);
@@ -418,9 +423,6 @@
                          "The target has seen this attempt before",
                          Execution::Unknown);
 
-  if (Reply.Reason == wire::RefusalReason::NeverArrived)
-    Which->MayHaveRun = false;
-
   Which->Tried.push_back(Which->SentTo);
   if (Which->Attempts >= MaxAttempts)
     return finishProblem(Which, 503, "no-target",
@@ -437,14 +439,12 @@
     Which->Ticket.reset();
   }
   Which->MayHaveRun = true;
-  if (Which->What.Idempotent && !Which->What.Streamed)
+  if (!Which->What.Streamed)
     return retryOrFail(Which);
-  if (Which->What.Streamed || Kind == FailureKind::Error)
-    return finishProblem(Which, 502, "target-failed",
-                         "The target failed while it served the request",
-                         Execution::Unknown);
 
-  settle(Which);
+  finishProblem(Which, 502, "target-failed",
+                "The target failed while it served the request",
+                Execution::Unknown);
 }
 
 void RequestFlow::retryOrFail(const FlightPtr &Which) {
@@ -458,24 +458,53 @@
                 Execution::Unknown);
 }
 
-/// Asks the agent that got the attempt; it answers now or when the attempt
-/// ends. Without an answer the deadline ends the request as unknown.
-void RequestFlow::settle(const FlightPtr &Which) {
-  Which->State = Flight::Phase::Settling;
-  PooledTarget *Target = Pool.find(Which->SentTo);
-  if (Target == nullptr || !Target->Connection->up())
-    return;
-  if (Target->About.Number != Which->AgentNumber)
+bool RequestFlow::claim(const FlightPtr &Which, const PooledTarget &Target) {
+  std::weak_ptr<Flight> Weak = Which;
+  auto OnAnswer = [this, Weak](const CallerAnswer &Answer) {
+    auto Claimed = Weak.lock();
+    if (Claimed && Claimed->State == Flight::Phase::Claimed)
+      onClaimAnswer(Claimed, Answer);
+  };
+  if (!Claim(Which->What, Target.About.Vm, OnAnswer))
+    return false;
+
+  Which->SentTo = Target.Id;
+  Which->SentAt = Time.now();
+  Which->State = Flight::Phase::Claimed;
+  return true;
+}
+
+void RequestFlow::onClaimAnswer(const FlightPtr &Which,
+                                const CallerAnswer &Answer) {
+  switch (Answer.Kind) {
+  case AnswerKind::Answered:
+  case AnswerKind::Accepted: {
+    wire::ServeReply Reply;
+    Reply.Status = Answer.Status;
+    Reply.Body = Answer.Body;
+    Reply.ContentType = "application/json";
+    return finishServed(Which, std::move(Reply), Answer.Status < 500);
+  }
+  case AnswerKind::NotRun:
+    return finishProblem(Which, 503, "not-run",
+                         "The request could not be claimed or was refused by "
+                         "its target",
+                         Execution::NotRun);
+  case AnswerKind::Conflict:
+    return finishProblem(Which, 409, "conflict",
+                         "The Idempotency-Key belongs to another request or "
+                         "another caller",
+                         Execution::NotRun);
+  case AnswerKind::TooLarge:
+    return finishProblem(Which, 413, "too-large",
+                         "The request is too large to be claimed",
+                         Execution::NotRun);
+  case AnswerKind::Unknown:
+  case AnswerKind::NotFound:
     return finishProblem(Which, 502, "outcome-unknown",
-                         "The agent restarted while it had the request",
+                         "Whether the request was run cannot be known",
                          Execution::Unknown);
-
-  Target->Connection->send(
-      {Config.Process,
-       Config.Number,
-       {},
-       wire::AttemptQuery{Config.Process, Config.Number, Which->Attempt,
-                          Which->AgentNumber}});
+  }
 }
 
 void RequestFlow::releaseAttempt(const FlightPtr &Which) {
--- /dev/null
+++ b/src/entry/ShardDuty.cpp
@@ -0,0 +1,217 @@
+#include "daisyspool/entry/ShardDuty.h"
+
+#include "daisyspool/telemetry/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisyspool {
+
+namespace {
+
+constexpr std::size_t InputRingCapacity = 8192;
+constexpr Millis IdleStep{50};
+/// Events wait this long for others, so that a burst shares one write.
+constexpr Millis GroupCommit{5};
+/// Tasks placed in one step, so that a large job does not delay renewals.
+constexpr std::size_t PlacementsPerStep = 256;
+
+const char *toString(TaskPhase Phase) {
+  switch (Phase) {
+  case TaskPhase::Waiting:
+    return "waiting";
+  case TaskPhase::Intended:
+    return "starting";
+  case TaskPhase::Running:
+    return "running";
+  case TaskPhase::Ended:
+    return "ended";
+  }
+  return "ended";
+}
+
+const char *toString(TaskOutcome Outcome) {
+  switch (Outcome) {
+  case TaskOutcome::Succeeded:
+    return "succeeded";
+  case TaskOutcome::AttemptsExhausted:
+    return "attempts-exhausted";
+  case TaskOutcome::Cancelled:
+    return "cancelled";
+  case TaskOutcome::Unrunnable:
+    return "unrunnable";
+  }
+  return "unrunnable";
+}
+
+JournalSettings journalSettings(Millis Lease) {
+  JournalSettings Result;
+  Result.Lease = Lease;
+  return Result;
+}
+
+ShardOwnerSettings ownerSettings(const ShardDuty::Options &Config) {
+  ShardOwnerSettings Result;
+  Result.TaskLease = Config.TaskLease;
+  Result.ShardLease = Config.ShardLease;
+  Result.AppendEvery = GroupCommit;
+  // A candidate must see the head often enough to notice that it stands still.
+  Result.ObserveEvery = Config.ShardLease / 6;
+  return Result;
+}
+
+bool hasEnded(const JobTable &Table, const JobId &Job) {
+  const JobState *State = Table.job(Job);
+  for (std::size_t Index = 0; Index < State->Spec.Tasks.size(); ++Index)
+    if (Table.task(taskOf(Job, Index))->Phase != TaskPhase::Ended)
+      return false;
+
+  return true;
+}
+
+} // namespace
+
+std::string describeJob(const JobTable &Table, const JobId &Job) {
+  const JobState *State = Table.job(Job);
+  nlohmann::json Tasks = nlohmann::json::array();
+  for (std::size_t Index = 0; Index < State->Spec.Tasks.size(); ++Index) {
+    TaskId Id = taskOf(Job, Index);
+    const TaskState *Task = Table.task(Id);
+    nlohmann::json One{{"task", Id.str()},
+                       {"phase", toString(Task->Phase)},
+                       {"attempt", Task->Attempt.value()},
+                       {"evictions", Task->Evictions},
+                       {"failures", Task->Failures}};
+    if (!Task->Vm.empty())
+      One["vm"] = Task->Vm.str();
+    if (Task->Phase == TaskPhase::Ended)
+      One["outcome"] = toString(Task->Outcome);
+    Tasks.push_back(std::move(One));
+  }
+
+  return nlohmann::json{{"job", Job.str()},
+                        {"caller", State->Spec.Caller.str()},
+                        {"team", State->Spec.Team.str()},
+                        {"cancelled", State->Cancelled},
+                        {"ended", hasEnded(Table, Job)},
+                        {"tasks", std::move(Tasks)}}
+      .dump();
+}
+
+ShardDuty::ShardDuty(boost::asio::io_context &Io, const Clock &Time,
+                     Options Config, std::unique_ptr<TableService> Table,
+                     std::unique_ptr<ObjectStore> Objects, Send Out)
+    : Config(std::move(Config)), Table(std::move(Table)),
+      Objects(std::move(Objects)), Out(std::move(Out)),
+      Journal("shard/" + std::to_string(this->Config.Shard.value()),
+              this->Config.Process, this->Config.PeerAddress, *this->Table,
+              *this->Objects, Time, journalSettings(this->Config.ShardLease)),
+      Owner(this->Config.Shard, Journal, Time, this->Config.Seed,
+            ownerSettings(this->Config)),
+      Timer(Io),
+      Inputs(std::make_shared<Inbox<ShardInput>>(
+          Io, InputRingCapacity, [this](ShardInput Input) {
+            std::visit([this](const auto &Each) { handle(Each); }, Input);
+            schedule(GroupCommit);
+          })) {
+  schedule(Duration::zero());
+}
+
+void ShardDuty::handle(const ClaimInput &Message) {
+  auto Grant = Owner.grants().find(Message.Vm);
+  Owner.claim(Message.Claim, Grant == Owner.grants().end()
+                                 ? std::nullopt
+                                 : std::optional(Grant->second));
+}
+
+void ShardDuty::handle(const JobQuery &Message) {
+  Waiters.push_back(Message);
+  answerWaiters();
+}
+
+void ShardDuty::handle(const JobQueryCancel &Message) {
+  std::erase_if(Waiters, [&](const JobQuery &Each) {
+    return Each.From.Sequence == Message.From.Sequence;
+  });
+}
+
+void ShardDuty::answerWaiters() {
+  std::erase_if(Waiters, [this](const JobQuery &Each) {
+    if (!Owner.accepts() || Owner.table().job(Each.Job) == nullptr) {
+      Out(JobAnswer{Each.From, std::nullopt});
+      return true;
+    }
+    if (Each.Wait && !hasEnded(Owner.table(), Each.Job))
+      return false;
+
+    Out(JobAnswer{Each.From, describeJob(Owner.table(), Each.Job)});
+    return true;
+  });
+}
+
+void ShardDuty::placeWaiting() {
+  if (!Owner.accepts() || Owner.table().waiting().empty())
+    return;
+
+  Placer.count(Owner.table());
+  std::vector<TaskId> Waiting(Owner.table().waiting().begin(),
+                              Owner.table().waiting().end());
+  std::size_t Placed = 0;
+  for (const TaskId &Task : Waiting) {
+    const TaskState *State = Owner.table().task(Task);
+    auto Vm = Placer.place(State->Spec.Need, Owner.grants());
+    if (!Vm)
+      continue;
+    Owner.start(Task, Owner.grants().at(*Vm));
+    if (++Placed == PlacementsPerStep)
+      return;
+  }
+}
+
+void ShardDuty::step() {
+  placeWaiting();
+  for (Action &Each : Owner.step())
+    std::visit([this](auto &Message) { Out(std::move(Message)); }, Each);
+  answerWaiters();
+  publishView();
+}
+
+void ShardDuty::publishView() {
+  ShardView Now;
+  Now.Shard = Config.Shard;
+  Now.Owned = Owner.accepts();
+  if (Journal.lastHead())
+    Now.OwnerAddress = Journal.lastHead()->OwnerAddress;
+  Now.Waiting = Owner.table().waiting().size();
+  Now.Live = Owner.table().live().size();
+  if (HasPublished && Now == Published)
+    return;
+
+  if (!HasPublished || Now.Owned != Published.Owned)
+    LogEvent(LogLevel::Info, "shard_view")
+        .with("shard", Config.Shard)
+        .with("owned", Now.Owned ? "yes" : "no");
+  HasPublished = true;
+  Published = Now;
+  Out(Now);
+}
+
+void ShardDuty::schedule(Duration After) {
+  // A step that is due sooner than the new time stays as it is.
+  auto Due = std::chrono::steady_clock::now() + After;
+  if (After > Duration::zero() && Timer.expiry() <= Due &&
+      Timer.expiry() > std::chrono::steady_clock::now())
+    return;
+
+  Timer.expires_at(Due);
+  Timer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    step();
+    schedule(IdleStep);
+  });
+}
+
+} // namespace daisyspool
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -21,7 +21,9 @@
     Slot = std::make_unique<PooledTarget>();
     Slot->Id = Id;
     Slot->About = What;
+    ByVm[What.Vm] = Id;
     connect(*Slot);
+    Hooks.OnFleetChanged();
     LogEvent(LogLevel::Info, "target_announced")
         .with("target", Id)
         .with("service", What.Service);
@@ -30,6 +32,7 @@
   if (What.Leaving && (!Slot->About.Leaving || NewIncarnation)) {
     Slot->About.Leaving = true;
     Hooks.OnLeaving(*Slot);
+    Hooks.OnFleetChanged();
   }
 }
 
@@ -66,7 +69,9 @@
       continue;
     }
     LogEvent(LogLevel::Warning, "target_expired").with("target", Each->first);
+    ByVm.erase(Each->second->About.Vm);
     Each = Targets.erase(Each);
+    Hooks.OnFleetChanged();
   }
 }
 
@@ -75,4 +80,9 @@
   return Found == Targets.end() ? nullptr : Found->second.get();
 }
 
+PooledTarget *TargetPool::findVm(const VmId &Vm) {
+  auto Found = ByVm.find(Vm);
+  return Found == ByVm.end() ? nullptr : find(Found->second);
+}
+
 } // namespace daisyspool
--- a/src/settings/ProcessSettings.cpp
+++ b/src/settings/ProcessSettings.cpp
@@ -68,6 +68,10 @@
       MilliCores(File.integerOr("worker", "millicores", 16000, 1, 1000000)),
       MebiBytes(File.integerOr("worker", "memory_mib", 64000, 1, 100000000)),
       Accelerators(File.integerOr("worker", "accelerators", 0, 0, 1024))};
+  Result.Shards =
+      static_cast<std::uint64_t>(File.integerOr("jobs", "shards", 8, 1, 64));
+  Result.TaskLease = File.durationOr("jobs", "task_lease", Millis(10000),
+                                     Millis(500), LongestLease);
   Result.AnnounceInterval = File.durationOr(
       "agent", "announce_interval", Millis(1000), Millis(50), Millis(60000));
   Result.DrainBound = File.durationOr("agent", "drain_bound", Millis(30000),
--- a/src/worker/Worker.cpp
+++ b/src/worker/Worker.cpp
@@ -4,9 +4,10 @@
 
 namespace {
 
-constexpr TaskPhase Phases[] = {TaskPhase::Running, TaskPhase::Suspended,
-                                TaskPhase::Finished, TaskPhase::Failed,
-                                TaskPhase::Stopped};
+constexpr WorkerTaskPhase Phases[] = {
+    WorkerTaskPhase::Running, WorkerTaskPhase::Suspended,
+    WorkerTaskPhase::Finished, WorkerTaskPhase::Failed,
+    WorkerTaskPhase::Stopped};
 
 using Reason = WorkerRefused::Reason;
 constexpr Reason Reasons[] = {Reason::NoRoom,       Reason::UnknownTask,
@@ -26,17 +27,17 @@
 
 } // namespace
 
-const char *toString(TaskPhase Phase) {
+const char *toString(WorkerTaskPhase Phase) {
   switch (Phase) {
-  case TaskPhase::Running:
+  case WorkerTaskPhase::Running:
     return "running";
-  case TaskPhase::Suspended:
+  case WorkerTaskPhase::Suspended:
     return "suspended";
-  case TaskPhase::Finished:
+  case WorkerTaskPhase::Finished:
     return "finished";
-  case TaskPhase::Failed:
+  case WorkerTaskPhase::Failed:
     return "failed";
-  case TaskPhase::Stopped:
+  case WorkerTaskPhase::Stopped:
     return "stopped";
   }
   return "unknown";
@@ -62,7 +63,7 @@
   return "unknown";
 }
 
-std::optional<TaskPhase> parseTaskPhase(const std::string &Text) {
+std::optional<WorkerTaskPhase> parseTaskPhase(const std::string &Text) {
   return parse(Phases, Text);
 }
 
--- a/standins/WorkerModel.h
+++ b/standins/WorkerModel.h
@@ -112,7 +112,7 @@
     auto Found = Tasks.find(Which.Task);
     if (Found != Tasks.end() && Found->second.Shown.Which == Which &&
         isLive(Found->second))
-      Found->second.Shown.Phase = TaskPhase::Stopped;
+      Found->second.Shown.Phase = WorkerTaskPhase::Stopped;
   }
 
   void acknowledge(const TaskAttempt &Which, TimePoint Now) {
@@ -150,7 +150,7 @@
     if (Found == Tasks.end() || !isLive(Found->second))
       throw WorkerRefused(Reason::UnknownTask, "no such running task");
 
-    Found->second.Shown.Phase = TaskPhase::Failed;
+    Found->second.Shown.Phase = WorkerTaskPhase::Failed;
     Found->second.Shown.ExitCode = ExitCode;
   }
 
@@ -232,13 +232,14 @@
   }
 
   static bool isLive(const Task &Each) {
-    return Each.Shown.Phase == TaskPhase::Running ||
-           Each.Shown.Phase == TaskPhase::Suspended;
+    return Each.Shown.Phase == WorkerTaskPhase::Running ||
+           Each.Shown.Phase == WorkerTaskPhase::Suspended;
   }
 
   static void setPhase(Task &Each, TimePoint Now) {
     bool Runs = Now < Each.LeaseEnd && Each.Shown.Share > Suspended;
-    Each.Shown.Phase = Runs ? TaskPhase::Running : TaskPhase::Suspended;
+    Each.Shown.Phase =
+        Runs ? WorkerTaskPhase::Running : WorkerTaskPhase::Suspended;
   }
 
   static void advance(Task &Each, TimePoint Now) {
@@ -255,15 +256,16 @@
       return;
 
     Each.Shown.ExitCode = Each.Command.ExitCode;
-    Each.Shown.Phase =
-        Each.Command.ExitCode == 0 ? TaskPhase::Finished : TaskPhase::Failed;
+    Each.Shown.Phase = Each.Command.ExitCode == 0 ? WorkerTaskPhase::Finished
+                                                  : WorkerTaskPhase::Failed;
   }
 
   static Resources used(const Task &Each) {
     const Resources &Size = Each.Shown.Size;
     std::int64_t Cpu = Each.Command.UsedMilliCores.value_or(Size.Cpu.value());
-    std::int64_t Share =
-        Each.Shown.Phase == TaskPhase::Running ? Each.Shown.Share.value() : 0;
+    std::int64_t Share = Each.Shown.Phase == WorkerTaskPhase::Running
+                             ? Each.Shown.Share.value()
+                             : 0;
     return {MilliCores(Cpu * Share / 1000),
             MebiBytes(Each.Command.UsedMebiBytes.value_or(Size.Memory.value())),
             Size.Accelerator};
--- a/tests/worker/FakeWorkerTest.cpp
+++ b/tests/worker/FakeWorkerTest.cpp
@@ -25,12 +25,12 @@
             std::nullopt};
   }
 
-  TaskPhase phase(const std::string &Id) {
+  WorkerTaskPhase phase(const std::string &Id) {
     for (const WorkerTask &Each : Vm.tasks())
       if (Each.Which.Task.str() == Id)
         return Each.Phase;
     FAIL("no task " << Id);
-    return TaskPhase::Stopped;
+    return WorkerTaskPhase::Stopped;
   }
 
   template <typename Function> Reason refusal(Function Act) {
@@ -51,13 +51,13 @@
 TEST_CASE_METHOD(Fixture, "a task makes progress only under its lease") {
   Vm.run(task("t", 1), Millis(2000));
   Time.advance(Millis(60000));
-  REQUIRE(phase("t") == TaskPhase::Suspended);
+  REQUIRE(phase("t") == WorkerTaskPhase::Suspended);
 
   Vm.renew(task("t", 1).Which, Lease);
   Time.advance(Millis(2999));
-  REQUIRE(phase("t") == TaskPhase::Running);
+  REQUIRE(phase("t") == WorkerTaskPhase::Running);
   Time.advance(Millis(1));
-  REQUIRE(phase("t") == TaskPhase::Finished);
+  REQUIRE(phase("t") == WorkerTaskPhase::Finished);
 }
 
 // Guards against a worker that is committed beyond its size, or that runs two
@@ -81,7 +81,7 @@
   Vm.run(task("t", 1), Lease);
   Vm.throttle(task("t", 1).Which, Suspended);
   Time.advance(Millis(5000));
-  REQUIRE(phase("t") == TaskPhase::Suspended);
+  REQUIRE(phase("t") == WorkerTaskPhase::Suspended);
   REQUIRE(Vm.usage().Tasks.at(0).Used ==
           Resources{MilliCores(0), MebiBytes(500), Accelerators(0)});
   REQUIRE(Vm.usage().Age >= Vm.UsageLag);
@@ -89,7 +89,7 @@
   Vm.throttle(task("t", 1).Which, FullShare);
   Vm.renew(task("t", 1).Which, Lease);
   Time.advance(Millis(5000));
-  REQUIRE(phase("t") == TaskPhase::Finished);
+  REQUIRE(phase("t") == WorkerTaskPhase::Finished);
 }
 
 // Guards against work that is lost or repeated across an eviction.
@@ -109,7 +109,7 @@
   Next.ResumeFrom = CheckpointId("good");
   Other.run(Next, Lease);
   Time.advance(Millis(1000));
-  REQUIRE(Other.tasks().at(0).Phase == TaskPhase::Finished);
+  REQUIRE(Other.tasks().at(0).Phase == WorkerTaskPhase::Finished);
 
   Next.ResumeFrom = CheckpointId("absent");
   REQUIRE(refusal([&] { Other.run(Next, Lease); }) ==
--- a/tests/worker/HttpWorkerTest.cpp
+++ b/tests/worker/HttpWorkerTest.cpp
@@ -64,14 +64,14 @@
   auto Tasks = Client.tasks();
   REQUIRE(Tasks.size() == 1);
   REQUIRE(Tasks[0].Which == First);
-  REQUIRE(Tasks[0].Phase == TaskPhase::Running);
+  REQUIRE(Tasks[0].Phase == WorkerTaskPhase::Running);
   REQUIRE(Tasks[0].Share == PerMille(250));
   REQUIRE(Tasks[0].Size == Size);
 
   Client.throttle(First, Suspended);
-  REQUIRE(Client.tasks().at(0).Phase == TaskPhase::Suspended);
+  REQUIRE(Client.tasks().at(0).Phase == WorkerTaskPhase::Suspended);
   Client.stop(First);
-  REQUIRE(Client.tasks().at(0).Phase == TaskPhase::Stopped);
+  REQUIRE(Client.tasks().at(0).Phase == WorkerTaskPhase::Stopped);
   Client.acknowledge(First);
   REQUIRE(Client.tasks().empty());
   REQUIRE(refusal([&] { Client.run(Endless, Lease); }) == Reason::AttemptEnded);
@@ -103,8 +103,9 @@
           Reason::UnknownCheckpoint);
   Short.ResumeFrom = CheckpointId("c/1");
   Client.run(Short, Lease);
-  waitFor(
-      [](const WorkerTask &Each) { return Each.Phase == TaskPhase::Finished; });
+  waitFor([](const WorkerTask &Each) {
+    return Each.Phase == WorkerTaskPhase::Finished;
+  });
 }
 
 // Guards against a lease that counts from the arrival of a late call: the task
@@ -145,7 +146,7 @@
   faults({{"fail_starts", 1}});
   Client.run(Second, Lease);
   auto Tasks = Client.tasks();
-  REQUIRE(Tasks.at(0).Phase == TaskPhase::Failed);
+  REQUIRE(Tasks.at(0).Phase == WorkerTaskPhase::Failed);
   REQUIRE(Tasks.at(0).ExitCode == 1);
 
   HttpWorker NotAWorker({Platform->endpoint(), AmpleTime}, Time);
