--- /dev/null
+++ b/standins/LinkRoute.h
@@ -0,0 +1,292 @@
+#ifndef DAISYSPOOL_STANDINS_LINKROUTE_H
+#define DAISYSPOOL_STANDINS_LINKROUTE_H
+
+#include "Standin.h"
+#include "TcpPipe.h"
+#include "daisyspool/core/Random.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <map>
+
+namespace daisyspool {
+
+/// Faults of one route; all are off at first.
+struct LinkFaults {
+  /// One way, in each direction.
+  double DelayMs = 0;
+  /// Upper bound of a random addition to the delay.
+  double JitterMs = 0;
+  /// Share of datagrams that are dropped. TCP data is delayed by a
+  /// retransmission time instead, as TCP repairs the loss.
+  double Loss = 0;
+  /// Nothing passes: datagrams are dropped, open connections go silent, and
+  /// new ones get no answer.
+  bool Cut = false;
+
+  template <typename Function> void fields(Function Visit) {
+    Visit("delay_ms", DelayMs);
+    Visit("jitter_ms", JitterMs);
+    Visit("loss", Loss);
+    Visit("cut", Cut);
+  }
+};
+
+/// Relays TCP connections and UDP datagrams from one address to another, on
+/// the same port number.
+///
+/// Operations in progress keep a route alive until close(). Thread safety: the
+/// I/O thread only.
+class LinkRoute : public std::enable_shared_from_this<LinkRoute> {
+public:
+  /// Binds at once; throws boost::system::system_error if that fails.
+  LinkRoute(boost::asio::io_context &Io, const http::Endpoint &Listen,
+            http::Endpoint To, const LinkFaults &Faults, std::uint64_t Seed)
+      : Io(Io), Target(std::move(To)), Faults(Faults), Chance(Seed),
+        Acceptor(Io), AcceptRetry(Io), Datagrams(Io) {
+    bindBoth(Listen);
+  }
+  LinkRoute(const LinkRoute &) = delete;
+  LinkRoute &operator=(const LinkRoute &) = delete;
+
+  void start() {
+    accept();
+    receive();
+  }
+
+  /// Stops relaying and closes the open connections.
+  void close() {
+    Closed = true;
+    boost::system::error_code Ignored;
+    Acceptor.close(Ignored);
+    AcceptRetry.cancel();
+    Datagrams.close(Ignored);
+    Unanswered.clear();
+    for (const auto &[From, Each] : Flows)
+      Each->Upstream.close(Ignored);
+    for (const auto &Each : Pipes)
+      if (auto Open = Each.lock())
+        Open->close();
+  }
+
+  http::Endpoint endpoint() const {
+    return toEndpoint(Acceptor.local_endpoint());
+  }
+  const http::Endpoint &target() const { return Target; }
+  LinkFaults &faults() { return Faults; }
+
+  /// Makes the changed faults effective for open connections.
+  void faultsChanged() {
+    if (Faults.Cut)
+      silence();
+    else
+      Unanswered.clear();
+  }
+
+  /// Makes all open connections go silent for good, while new ones work.
+  /// Returns their number.
+  std::size_t silence() {
+    std::size_t Count = 0;
+    for (const auto &Each : Pipes)
+      if (auto Open = Each.lock()) {
+        Open->goSilent();
+        ++Count;
+      }
+
+    Pipes.clear();
+    return Count;
+  }
+
+private:
+  using Tcp = boost::asio::ip::tcp;
+  using Udp = boost::asio::ip::udp;
+
+  /// Added to TCP data that is "lost": Linux's shortest retransmission time.
+  static constexpr Millis RetransmitTime{200};
+  static constexpr std::size_t MaxFlows = 1024;
+  static constexpr std::size_t MaxDatagramBytes = 65536;
+  static constexpr int BindTries = 20;
+
+  /// The way back to one sender of datagrams.
+  struct Flow : std::enable_shared_from_this<Flow> {
+    Flow(boost::asio::io_context &Io, Udp::endpoint Sender)
+        : Sender(std::move(Sender)), Upstream(Io) {}
+
+    Udp::endpoint Sender;
+    Udp::socket Upstream;
+    std::array<char, MaxDatagramBytes> Buffer{};
+    std::chrono::steady_clock::time_point LastUsed;
+  };
+
+  /// A free TCP port may be taken for UDP, so port 0 is tried several times.
+  void bindBoth(const http::Endpoint &Listen) {
+    for (int Try = 1;; ++Try) {
+      auto Where = toTcp(Listen);
+      Acceptor.open(Where.protocol());
+      Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+      Acceptor.bind(Where);
+      Udp::endpoint Same(Where.address(), Acceptor.local_endpoint().port());
+      Datagrams.open(Same.protocol());
+      boost::system::error_code Failure;
+      Datagrams.bind(Same, Failure);
+      if (!Failure)
+        break;
+      if (Listen.Port != 0 || Try == BindTries)
+        throw boost::system::system_error(Failure);
+      Datagrams.close();
+      Acceptor.close();
+    }
+
+    Acceptor.listen();
+  }
+
+  Duration delay() {
+    double Delay = Faults.DelayMs + Faults.JitterMs * Chance.unit();
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(Delay));
+  }
+
+  bool lost() { return Faults.Loss > 0 && Chance.unit() < Faults.Loss; }
+
+  void accept() {
+    Acceptor.async_accept(
+        [this, Self = shared_from_this()](boost::system::error_code Failure,
+                                          Tcp::socket Caller) {
+          if (Closed)
+            return;
+          if (Failure)
+            return retryAccept();
+          connect(std::move(Caller));
+          accept();
+        });
+  }
+
+  /// The process may be out of file descriptors; a loop without a pause would
+  /// use a whole core until one is free.
+  void retryAccept() {
+    AcceptRetry.expires_after(Millis(20));
+    AcceptRetry.async_wait(
+        [this, Self = shared_from_this()](boost::system::error_code) {
+          if (!Closed)
+            accept();
+        });
+  }
+
+  void connect(Tcp::socket Caller) {
+    if (Faults.Cut) {
+      Unanswered.push_back(std::move(Caller));
+      return;
+    }
+
+    auto Held = std::make_shared<Tcp::socket>(std::move(Caller));
+    auto Server = std::make_shared<Tcp::socket>(Io);
+    Server->async_connect(
+        toTcp(Target), [this, Self = shared_from_this(), Held,
+                        Server](boost::system::error_code Failure) {
+          if (Failure || Closed)
+            return;
+          std::erase_if(Pipes, [](const auto &Each) { return Each.expired(); });
+          Pipes.push_back(TcpPipe::start(std::move(*Held), std::move(*Server),
+                                         [Self] { return Self->tcpDelay(); }));
+        });
+  }
+
+  Duration tcpDelay() {
+    return delay() + (lost() ? Duration(RetransmitTime) : Duration::zero());
+  }
+
+  void receive() {
+    Datagrams.async_receive_from(
+        boost::asio::buffer(Buffer), Sender,
+        [this, Self = shared_from_this()](boost::system::error_code Failure,
+                                          std::size_t Length) {
+          if (Closed)
+            return;
+          if (!Failure)
+            pass(flow(Sender), std::string(Buffer.data(), Length), true);
+          receive();
+        });
+  }
+
+  std::shared_ptr<Flow> flow(const Udp::endpoint &From) {
+    auto &Found = Flows[From];
+    if (!Found) {
+      Found = std::make_shared<Flow>(Io, From);
+      auto To = toTcp(Target);
+      Found->Upstream.connect({To.address(), To.port()});
+      receiveBack(Found);
+    }
+    Found->LastUsed = std::chrono::steady_clock::now();
+    auto Result = Found;
+    forgetOldest();
+    return Result;
+  }
+
+  void forgetOldest() {
+    if (Flows.size() <= MaxFlows)
+      return;
+
+    auto Oldest = std::min_element(
+        Flows.begin(), Flows.end(), [](const auto &Left, const auto &Right) {
+          return Left.second->LastUsed < Right.second->LastUsed;
+        });
+    Oldest->second->Upstream.close();
+    Flows.erase(Oldest);
+  }
+
+  void receiveBack(const std::shared_ptr<Flow> &Which) {
+    Which->Upstream.async_receive(
+        boost::asio::buffer(Which->Buffer),
+        [this, Self = shared_from_this(),
+         Which](boost::system::error_code Failure, std::size_t Length) {
+          if (Closed || Failure == boost::asio::error::operation_aborted)
+            return;
+          if (!Failure)
+            pass(Which, std::string(Which->Buffer.data(), Length), false);
+          receiveBack(Which);
+        });
+  }
+
+  void pass(const std::shared_ptr<Flow> &Which, std::string Bytes,
+            bool Forward) {
+    if (Faults.Cut || lost())
+      return;
+
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Io, delay());
+    Timer->async_wait([this, Self = shared_from_this(), Timer, Which,
+                       Bytes = std::move(Bytes),
+                       Forward](boost::system::error_code) {
+      if (Closed)
+        return;
+      // A datagram that cannot be sent is lost, as on a network.
+      boost::system::error_code Ignored;
+      if (Forward)
+        Which->Upstream.send(boost::asio::buffer(Bytes), 0, Ignored);
+      else
+        Datagrams.send_to(boost::asio::buffer(Bytes), Which->Sender, 0,
+                          Ignored);
+    });
+  }
+
+  boost::asio::io_context &Io;
+  http::Endpoint Target;
+  LinkFaults Faults;
+  Random Chance;
+  Tcp::acceptor Acceptor;
+  boost::asio::steady_timer AcceptRetry;
+  Udp::socket Datagrams;
+  std::vector<std::weak_ptr<TcpPipe>> Pipes;
+  std::vector<Tcp::socket> Unanswered;
+  std::map<Udp::endpoint, std::shared_ptr<Flow>> Flows;
+  std::array<char, MaxDatagramBytes> Buffer{};
+  Udp::endpoint Sender;
+  bool Closed = false;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_STANDINS_LINKROUTE_H
--- a/standins/Standin.h
+++ b/standins/Standin.h
@@ -46,6 +46,13 @@
   return {Status, {{"Content-Type", "application/json"}}, Document.dump()};
 }
 
+/// Options of a port that carries small calls.
+inline http::Server::Options controlOptions(const http::Endpoint &Listen) {
+  http::Server::Options Result;
+  Result.Listen = Listen;
+  return Result;
+}
+
 /// Fields of a fault switchboard as JSON. \p Faults has a template method
 /// fields(Visit) that calls Visit(Name, Field) for each field.
 template <typename Faults> nlohmann::json faultsToJson(Faults &Current) {
--- a/standins/WorkerStandin.h
+++ b/standins/WorkerStandin.h
@@ -62,7 +62,7 @@
 
   WorkerStandin(boost::asio::io_context &Io, Options Given)
       : Config(std::move(Given)), Model(Config.Capacity), Held(Io),
-        Port(Io, serverOptions(Config.Listen),
+        Port(Io, controlOptions(Config.Listen),
              [this](http::Request What, Answerer Answer) {
                receive(std::move(What), std::move(Answer));
              }) {
@@ -83,12 +83,6 @@
   /// For a call to the object store.
   static constexpr Millis StoreTimeout{5000};
 
-  static http::Server::Options serverOptions(const http::Endpoint &Listen) {
-    http::Server::Options Result;
-    Result.Listen = Listen;
-    return Result;
-  }
-
   static TaskAttempt parseAttempt(const Json &From) {
     return {TaskId(From.at("task").get<std::string>()),
             AttemptNumber(From.at("attempt").get<std::uint64_t>())};
--- a/tests/support/StandinThread.h
+++ b/tests/support/StandinThread.h
@@ -42,13 +42,15 @@
   std::thread Runner;
 };
 
-/// Makes a control call to a stand-in and returns its answer. Throws if the
+/// Makes a control call to a stand-in and returns its answer. A null \p Change
+/// is sent as an empty object. Throws if the
 /// stand-in refuses the call.
 inline nlohmann::json control(const http::Endpoint &Where,
                               const std::string &Path,
                               const nlohmann::json &Change) {
-  http::Response Answer = http::exchangeBlocking(
-      Where, {"POST", Path, {}, Change.dump()}, AmpleTime);
+  std::string Body = Change.is_null() ? "{}" : Change.dump();
+  http::Response Answer =
+      http::exchangeBlocking(Where, {"POST", Path, {}, Body}, AmpleTime);
   if (Answer.Status != 200)
     throw std::runtime_error(Answer.Body);
 
