Add answers for another row and damaged answers to the nonsense

Cause: the checks of row keys, checksums and digests in the adapters had no test, as no nonsense answer reached them. Change: the platform stand-in also answers with another row and with a body that differs from its checksum. Conclusion: both kinds are reported as PlatformProtocolError.

--- a/standins/PlatformStandin.h
+++ b/standins/PlatformStandin.h
@@ -159,7 +159,7 @@
       return;
     if (Faults.Nonsense > 0) {
       --Faults.Nonsense;
-      Result = nonsense();
+      Result = nonsense(std::move(Result));
     }
     Answer->respond(std::move(Result));
   }
@@ -179,17 +179,25 @@
     return Faults.LoseAnswerShare > 0 && Chance.unit() < Faults.LoseAnswerShare;
   }
 
-  /// A different kind of nonsense at each call.
-  http::Response nonsense() {
-    switch (NonsenseKind++ % 4) {
+  /// A different kind of nonsense at each call, made from the true answer.
+  http::Response nonsense(http::Response Answer) {
+    switch (NonsenseKind++ % 6) {
     case 0:
       return {200, {{"Content-Type", "text/html"}}, "<html>welcome</html>"};
     case 1:
       return DynamoFrontend::answer(200, R"({"Item":{"Partition":7}})");
     case 2:
       return DynamoFrontend::answer(200, R"([1,2)");
-    default:
+    case 3:
       return DynamoFrontend::refusal("NoSuchException", "nonsense", 418);
+    case 4:
+      return DynamoFrontend::answer(
+          200, R"({"Item":{"Partition":{"S":"another"},"Sort":{"S":"row"},)"
+               R"("Version":{"N":"1"},"Value":{"B":""}}})");
+    default:
+      // Damaged on the way, with the checksum of the true answer.
+      Answer.Body += ' ';
+      return Answer;
     }
   }
 
--- a/tests/platform/DynamoTableTest.cpp
+++ b/tests/platform/DynamoTableTest.cpp
@@ -143,15 +143,15 @@
 
 // Guards against nonsense that crashes the caller or passes for "no such row".
 TEST_CASE_METHOD(Fixture, "nonsense answers are protocol errors") {
-  for (int Kind = 0; Kind < 4; ++Kind) {
+  for (int Kind = 0; Kind < 6; ++Kind) {
     faults({{"nonsense", 1}});
     REQUIRE_THROWS_AS(Table.read(Head), PlatformProtocolError);
   }
-  for (int Kind = 0; Kind < 4; ++Kind) {
+  for (int Kind = 0; Kind < 6; ++Kind) {
     faults({{"nonsense", 1}});
     REQUIRE_THROWS_AS(Table.query("shard/3", "", 5), PlatformProtocolError);
   }
-  for (int Kind = 0; Kind < 4; ++Kind) {
+  for (int Kind = 0; Kind < 6; ++Kind) {
     faults({{"nonsense", 1}});
     REQUIRE_THROWS_AS(Table.commit({"t" + std::to_string(Kind),
                                     {PutRow{{"x", "y"}, 1, "", {}}}}),
--- a/tests/platform/S3ObjectsTest.cpp
+++ b/tests/platform/S3ObjectsTest.cpp
@@ -43,8 +43,8 @@
 
   switchFaults(Platform->endpoint(), {{"throttle", true}});
   REQUIRE_THROWS_AS(Objects.get("k"), PlatformThrottled);
-  switchFaults(Platform->endpoint(), {{"throttle", false}, {"nonsense", 4}});
-  for (int Kind = 0; Kind < 4; ++Kind)
+  switchFaults(Platform->endpoint(), {{"throttle", false}, {"nonsense", 6}});
+  for (int Kind = 0; Kind < 6; ++Kind)
     REQUIRE_THROWS_AS(Objects.get("k"), PlatformProtocolError);
   switchFaults(Platform->endpoint(), {{"outage", "refuse"}});
   REQUIRE_THROWS_AS(Objects.get("k"), PlatformUnavailable);
