--- a/include/daisyspool/jobs/ShardOwner.h
+++ b/include/daisyspool/jobs/ShardOwner.h
@@ -181,10 +181,11 @@
   void repeatTaskOrders(const TaskId &Task);
   void chaseClaim(const RequestId &Request);
   std::vector<Action> release();
-  bool stillValid(StartOrder &Order);
-  bool stillValid(RenewalReply &Reply);
-  bool stillValid(RunOrder &Order);
-  template <typename Other> bool stillValid(Other &) { return true; }
+  bool stillValid(const StartOrder &Order) const;
+  bool stillValid(const RunOrder &Order) const;
+  template <typename Other> bool stillValid(const Other &) const {
+    return true;
+  }
 
   void record(const std::vector<Event> &Events);
   void emit(Action Message);
--- a/src/jobs/ShardOwner.cpp
+++ b/src/jobs/ShardOwner.cpp
@@ -174,33 +174,18 @@
   while (!Outbox.empty() && Outbox.front().Needs <= DurableBatch) {
     Action Message = std::move(Outbox.front().Message);
     Outbox.pop_front();
-    if (std::visit([this](auto &One) { return stillValid(One); }, Message))
+    if (std::visit([this](const auto &One) { return stillValid(One); },
+                   Message))
       Result.push_back(std::move(Message));
   }
   return Result;
 }
 
-bool ShardOwner::stillValid(StartOrder &Order) {
-  if (!Table.isCurrent(Order.Task, Order.Attempt))
-    return false;
-
-  Leases.granted(Order.Task, Time.now());
-  return true;
-}
-
-bool ShardOwner::stillValid(RenewalReply &Reply) {
-  // An attempt may have been given up while the reply waited for the store.
-  std::erase_if(Reply.Rulings, [this](const Ruling &One) {
-    return One.Decision != Verdict::Stop &&
-           !Table.isCurrent(One.Task, One.Attempt);
-  });
-  for (const Ruling &One : Reply.Rulings)
-    if (One.Decision != Verdict::Stop)
-      Leases.granted(One.Task, Time.now());
-  return true;
+bool ShardOwner::stillValid(const StartOrder &Order) const {
+  return Table.isCurrent(Order.Task, Order.Attempt);
 }
 
-bool ShardOwner::stillValid(RunOrder &Order) {
+bool ShardOwner::stillValid(const RunOrder &Order) const {
   return Table.unsettled().count(Order.Request) != 0;
 }
 
@@ -361,6 +346,8 @@
   RenewalReply Reply{Shard, Journal.epoch(), Request.Sender, {}};
   for (const HeldAttempt &Held : Request.Held) {
     const Verdict Decision = rule(Held);
+    // The lease counts from the request, so that it ends in time even if the
+    // reply waits for the store.
     if (Decision != Verdict::Stop)
       Leases.granted(Held.Task, Time.now());
     Reply.Rulings.push_back({Held.Task, Held.Attempt, Decision});
