--- a/include/daisyspool/jobs/ShardOwner.h
+++ b/include/daisyspool/jobs/ShardOwner.h
@@ -81,6 +81,7 @@
   Duration TaskLease = Millis(10'000);
   Duration ShardLease = Millis(6000);
   Duration AppendEvery = Millis(100);
+  Duration SnapshotEvery = Millis(10'000);
   /// Pace of repeated orders and of reads of the head by a candidate.
   Duration RepeatEvery = Millis(500);
   Duration ObserveEvery = Millis(2000);
@@ -114,7 +115,8 @@
   ShardOwner &operator=(const ShardOwner &) = delete;
 
   /// Observes, takes over, replays, settles, appends or renews, whatever is
-  /// due. Throws JournalCorrupt or InvalidEvent if the log is damaged.
+  /// due. Throws JournalCorrupt or InvalidEvent if the log is damaged, and
+  /// PlatformProtocolError.
   std::vector<Action> step();
 
   /// Whether this process owns the shard, has replayed it and may accept work.
@@ -229,6 +231,7 @@
 
   std::optional<TimePoint> LastObserve;
   std::optional<TimePoint> LastAppend;
+  std::optional<TimePoint> LastSnapshot;
   std::optional<TimePoint> LastRepeat;
   TimePoint RetryAt{};
   std::uint32_t FailedCalls = 0;
--- a/src/jobs/ShardOwner.cpp
+++ b/src/jobs/ShardOwner.cpp
@@ -91,8 +91,14 @@
       (!LastAppend || Now - *LastAppend >= Settings.AppendEvery))
     appendBatch();
 
-  if (!Journal.hasPending() && Batch.empty() && Journal.wantsSnapshot())
+  // The object store may be down for long; each attempt may block.
+  const bool SnapshotIsDue =
+      !LastSnapshot || Now - *LastSnapshot >= Settings.SnapshotEvery;
+  if (!Journal.hasPending() && Batch.empty() && SnapshotIsDue &&
+      Journal.wantsSnapshot()) {
+    LastSnapshot = Now;
     Journal.saveSnapshot(Table.snapshot());
+  }
   if (!Journal.hasPending())
     Journal.renewIfDue();
   if (Journal.hasPending())
--- /dev/null
+++ b/tests/jobs/JobTableTest.cpp
@@ -0,0 +1,125 @@
+#include "daisyspool/jobs/jobs.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+
+namespace {
+
+const TaskId Task("roster/0");
+const AttemptNumber First(1);
+
+struct Fixture {
+  JobTable Table;
+
+  Fixture() {
+    apply(Table.submit({JobId("roster"),
+                        CallerId("lead"),
+                        TeamId("t"),
+                        2,
+                        {TaskSpec{}},
+                        "digest"}));
+  }
+
+  void apply(const std::vector<Event> &Events) {
+    for (const Event &Each : Events)
+      Table.apply(Each);
+  }
+  void apply(const Decision &Result) {
+    apply(std::get<Proceed>(Result).Events);
+  }
+
+  void run(std::uint64_t Attempt) {
+    apply(Table.intend(Task, VmId("vm"), Incarnation(1)));
+    Table.apply(AttemptRunning{Task, AttemptNumber(Attempt)});
+  }
+};
+
+} // namespace
+
+// Guards against a caller's retry that starts a second job, and against a job
+// that another caller learns about or replaces.
+TEST_CASE("a job id belongs to one caller and one body") {
+  Fixture Setup;
+  JobSubmitted Again{JobId("roster"), CallerId("lead"), TeamId("t"), 2, {},
+                     "digest"};
+  REQUIRE(std::holds_alternative<AlreadyDone>(Setup.Table.submit(Again)));
+  Again.BodyDigest = "changed";
+  REQUIRE(std::holds_alternative<Conflict>(Setup.Table.submit(Again)));
+  REQUIRE(std::holds_alternative<Conflict>(
+      Setup.Table.cancel(JobId("roster"), CallerId("other"))));
+}
+
+// Guards against a job that fails forever.
+TEST_CASE("failed and lost attempts are bounded, with a typed end") {
+  Fixture Setup;
+  Setup.run(1);
+  Setup.apply(Setup.Table.endAttempt(Task, First, EndReason::Failed));
+  REQUIRE(Setup.Table.waiting().count(Task) == 1);
+  Setup.run(2);
+  Setup.apply(Setup.Table.endAttempt(Task, AttemptNumber(2), EndReason::Lost));
+  REQUIRE(Setup.Table.task(Task)->Phase == TaskPhase::Ended);
+  REQUIRE(Setup.Table.task(Task)->Outcome == TaskOutcome::AttemptsExhausted);
+}
+
+// Guards against refusals and evictions that use up a job's attempts.
+TEST_CASE("refusals and evictions do not count as failures") {
+  Fixture Setup;
+  for (std::uint64_t Attempt = 1; Attempt <= 4; ++Attempt) {
+    Setup.run(Attempt);
+    Setup.apply(Setup.Table.endAttempt(Task, AttemptNumber(Attempt),
+                                       Attempt % 2 == 0 ? EndReason::Evicted
+                                                        : EndReason::Refused));
+  }
+  REQUIRE(Setup.Table.waiting().count(Task) == 1);
+}
+
+// Guards against a cancelled task that is restarted because its attempt ended
+// in another way than the cancellation.
+TEST_CASE("an attempt that races with a cancellation is not followed") {
+  const EndReason Reason = GENERATE(EndReason::Cancelled, EndReason::Lost,
+                                    EndReason::Refused, EndReason::Evicted);
+  Fixture Setup;
+  Setup.run(1);
+  Setup.apply(Setup.Table.cancel(JobId("roster"), CallerId("lead")));
+  REQUIRE_FALSE(Setup.Table.mayEvict(Task));
+  Setup.apply(Setup.Table.endAttempt(Task, First, Reason));
+  REQUIRE(Setup.Table.task(Task)->Outcome == TaskOutcome::Cancelled);
+}
+
+// Guards against a log that is replayed although it contradicts itself.
+TEST_CASE("an event that does not follow is refused") {
+  Fixture Setup;
+  REQUIRE_THROWS_AS(Setup.Table.apply(AttemptRunning{Task, First}),
+                    InvalidEvent);
+  REQUIRE_THROWS_AS(Setup.Table.apply(AttemptIntended{
+                        Task, AttemptNumber(2), VmId(), Incarnation(), {}}),
+                    InvalidEvent);
+  REQUIRE_THROWS_AS(Setup.Table.apply(RequestEnded{}), InvalidEvent);
+}
+
+// Guards against a snapshot or a codec that loses part of the state.
+TEST_CASE("events and snapshots give the same state") {
+  Fixture Setup;
+  Setup.run(1);
+  Setup.Table.apply(CheckpointTaken{Task, First, CheckpointId("c"), 1});
+  Setup.Table.apply(RequestClaimed{RequestId("r"),
+                                   CallerId("lead"),
+                                   ServiceId("s"),
+                                   "d",
+                                   {VmId("vm"), Incarnation(3), Millis(5)}});
+  JobTable Copy;
+  Copy.restore(Setup.Table.snapshot());
+  REQUIRE(Copy.snapshot() == Setup.Table.snapshot());
+  REQUIRE(Copy.live() == Setup.Table.live());
+  REQUIRE(Copy.unsettled() == Setup.Table.unsettled());
+
+  const std::vector<Event> Events{
+      RequestsServed{{ServedRequest{RequestId("fit"), CallerId("lead"),
+                                    ServiceId("s"), VmId("vm"), 1, 2, 200}}},
+      TaskEnded{Task, TaskOutcome::Unrunnable}};
+  REQUIRE(encodeEvents(decodeEvents(encodeEvents(Events))) ==
+          encodeEvents(Events));
+  REQUIRE_THROWS_AS(decodeEvents("\x91\x92\x63\x90"), InvalidEvent);
+  REQUIRE_THROWS_AS(Copy.restore("junk"), InvalidEvent);
+}
--- a/tests/sim/Oracle.h
+++ b/tests/sim/Oracle.h
@@ -116,6 +116,11 @@
     checkRefusals(Sent.Id);
   }
 
+  std::uint64_t attempts(const TaskId &Task) const {
+    auto Found = Tasks.find(Task);
+    return Found == Tasks.end() ? 0 : Found->second.Intended.value();
+  }
+
   const std::vector<Submission> &submissions() const { return Submissions; }
 
   /// Reads the entries appended since the last call.
--- a/tests/sim/World.h
+++ b/tests/sim/World.h
@@ -93,6 +93,11 @@
 
   const std::string &violation() const { return Checks.Violation; }
 
+  /// Number of attempts of a task that the log holds.
+  std::uint64_t attempts(const TaskId &Task) const {
+    return Checks.attempts(Task);
+  }
+
 private:
   struct Node {
     explicit Node(const TimePoint &World) : Time(World) {}
