Retire ended jobs and settled requests from the owner's memory

Cause: a shard owner kept the tasks of every job and the answer of every request that ever ended.

Change: an event Retired, written an hour after the end, drops tasks and answers. Ids stay taken with caller and digest, so that a late repeat is recognised: a job is accepted as known, a request is settled as unknown.

--- a/include/daisyspool/jobs/Events.h
+++ b/include/daisyspool/jobs/Events.h
@@ -133,12 +133,21 @@
   MSGPACK_DEFINE_ARRAY(Requests)
 };
 
+/// Ended jobs and settled requests whose details the owner drops from memory.
+/// Their ids stay taken, and the record keeps the rest.
+struct Retired {
+  std::vector<JobId> Jobs;
+  std::vector<RequestId> Requests;
+
+  MSGPACK_DEFINE_ARRAY(Jobs, Requests)
+};
+
 /// What a log holds. The order of the alternatives is part of the format: add
 /// new ones at the end.
 using Event =
     std::variant<JobSubmitted, AttemptIntended, AttemptRunning, CheckpointTaken,
                  AttemptEnded, TaskEnded, JobCancelled, RequestClaimed,
-                 RequestEnded, RequestsServed>;
+                 RequestEnded, RequestsServed, Retired>;
 
 /// Encodes a batch as the body of a journal entry.
 std::string encodeEvents(const std::vector<Event> &Events);
--- a/include/daisyspool/jobs/JobTable.h
+++ b/include/daisyspool/jobs/JobTable.h
@@ -39,20 +39,23 @@
                        CheckpointNumber, Failures, Evictions, Outcome)
 };
 
+/// A retired job keeps its caller and digest, but no tasks.
 struct JobState {
   JobSubmitted Spec;
   bool Cancelled = false;
+  bool Retired = false;
 
-  MSGPACK_DEFINE_ARRAY(Spec, Cancelled)
+  MSGPACK_DEFINE_ARRAY(Spec, Cancelled, Retired)
 };
 
-/// A claimed request; settled once Ended is set.
+/// A claimed request. A retired one is still settled, with an unknown outcome.
 struct RequestState {
   RequestClaimed Claim;
   bool Settled = false;
   RequestEnded End;
+  bool Retired = false;
 
-  MSGPACK_DEFINE_ARRAY(Claim, Settled, End)
+  MSGPACK_DEFINE_ARRAY(Claim, Settled, End, Retired)
 };
 
 /// The decision is to append these events.
@@ -115,6 +118,12 @@
   /// Settles a claimed request; empty if it is settled or unknown.
   std::vector<Event> settle(const RequestEnded &End) const;
 
+  /// Whether all tasks of a known job have ended.
+  bool hasEnded(const JobId &Job) const;
+
+  /// What may be retired: ended jobs and settled requests.
+  Retired retirable() const;
+
   const TaskState *task(const TaskId &Task) const;
   const JobState *job(const JobId &Job) const;
   const RequestState *request(const RequestId &Request) const;
@@ -140,6 +149,7 @@
   void on(const RequestClaimed &Change);
   void on(const RequestEnded &Change);
   void on(const RequestsServed &Change);
+  void on(const Retired &Change);
   TaskState &liveTask(const TaskId &Task, AttemptNumber Attempt);
   std::optional<TaskOutcome> outcomeAfter(const TaskState &State,
                                           EndReason Reason) const;
--- a/include/daisyspool/jobs/ShardOwner.h
+++ b/include/daisyspool/jobs/ShardOwner.h
@@ -89,6 +89,8 @@
   /// request is settled as unknown at the limit.
   Duration QueryEvery = Millis(2000);
   Duration SettleLimit = Millis(60'000);
+  /// How long ended jobs and answers are kept for callers that ask again.
+  Duration RetainEnded = std::chrono::hours(1);
   Duration BackoffBase = Millis(50);
   Duration BackoffCap = Millis(1000);
 };
@@ -173,6 +175,12 @@
     std::vector<CallerRef> Waiters;
   };
 
+  /// Something that has ended and when.
+  struct Ending {
+    TimePoint At;
+    std::variant<JobId, RequestId> What;
+  };
+
   bool takeOver();
   bool replay();
   void persist();
@@ -182,6 +190,8 @@
   void repeatOrders();
   void repeatTaskOrders(const TaskId &Task);
   void chaseClaim(const RequestId &Request);
+  void noteEnding(const Event &Change);
+  void retire();
   std::vector<Action> release();
   bool stillValid(const StartOrder &Order) const;
   bool stillValid(const RunOrder &Order) const;
@@ -228,6 +238,7 @@
   std::map<TaskId, std::uint64_t> Evicting;
   std::map<RequestId, ClaimProgress> Claims;
   std::map<ProcessId, SeenForwards> Forwards;
+  std::deque<Ending> Endings;
 
   std::optional<TimePoint> LastObserve;
   std::optional<TimePoint> LastAppend;
--- a/src/jobs/JobTable.cpp
+++ b/src/jobs/JobTable.cpp
@@ -42,7 +42,7 @@
 }
 
 void JobTable::on(const JobSubmitted &Change) {
-  if (!Jobs.emplace(Change.Job, JobState{Change, false}).second)
+  if (!Jobs.emplace(Change.Job, JobState{Change, false, false}).second)
     throw InvalidEvent("job " + Change.Job.str() + " is submitted twice");
 
   for (std::size_t Index = 0; Index < Change.Tasks.size(); ++Index) {
@@ -113,7 +113,8 @@
 }
 
 void JobTable::on(const RequestClaimed &Change) {
-  if (!Requests.emplace(Change.Request, RequestState{Change, false, {}}).second)
+  if (!Requests.emplace(Change.Request, RequestState{Change, false, {}, false})
+           .second)
     throw InvalidEvent("request " + Change.Request.str() + " is claimed twice");
 
   Unsettled.insert(Change.Request);
@@ -133,6 +134,51 @@
   // Short requests are idempotent: they are on record, but have no state.
 }
 
+void JobTable::on(const Retired &Change) {
+  for (const JobId &Job : Change.Jobs) {
+    if (!hasEnded(Job))
+      throw InvalidEvent("job " + Job.str() + " cannot be retired");
+
+    JobState &State = Jobs.at(Job);
+    for (std::size_t Index = 0; Index < State.Spec.Tasks.size(); ++Index)
+      Tasks.erase(taskOf(Job, Index));
+    State.Spec.Tasks.clear();
+    State.Retired = true;
+  }
+
+  for (const RequestId &Request : Change.Requests) {
+    auto Found = Requests.find(Request);
+    if (Found == Requests.end() || !Found->second.Settled)
+      throw InvalidEvent("request " + Request.str() + " cannot be retired");
+
+    // A late repeat must not run again, and its answer is gone.
+    Found->second.End = {Request, RequestOutcome::Unknown, 0, {}};
+    Found->second.Retired = true;
+  }
+}
+
+bool JobTable::hasEnded(const JobId &Job) const {
+  auto Found = Jobs.find(Job);
+  if (Found == Jobs.end())
+    return false;
+
+  for (std::size_t Index = 0; Index < Found->second.Spec.Tasks.size(); ++Index)
+    if (Tasks.at(taskOf(Job, Index)).Phase != TaskPhase::Ended)
+      return false;
+  return true;
+}
+
+Retired JobTable::retirable() const {
+  Retired Result;
+  for (const auto &[Job, State] : Jobs)
+    if (!State.Retired && hasEnded(Job))
+      Result.Jobs.push_back(Job);
+  for (const auto &[Request, State] : Requests)
+    if (!State.Retired && State.Settled)
+      Result.Requests.push_back(Request);
+  return Result;
+}
+
 Decision JobTable::submit(const JobSubmitted &Job) const {
   const JobState *Known = job(Job.Job);
   if (!Known)
--- a/src/jobs/ShardOwner.cpp
+++ b/src/jobs/ShardOwner.cpp
@@ -10,6 +10,9 @@
 /// Sequence numbers kept for each entry; older ones count as handled.
 constexpr std::size_t ForwardWindow = 4096;
 
+/// Bound of what one event retires, so that it stays small.
+constexpr std::size_t MaxRetired = 500;
+
 constexpr std::uint32_t MaxBackoffDoublings = 10;
 
 } // namespace
@@ -77,6 +80,11 @@
   const TimePoint Now = Time.now();
   for (const RequestId &Request : Table.unsettled())
     Claims[Request] = {Now, Now - Settings.QueryEvery, {}};
+  const Retired Ended = Table.retirable();
+  for (const JobId &Job : Ended.Jobs)
+    Endings.push_back({Now, Job});
+  for (const RequestId &Request : Ended.Requests)
+    Endings.push_back({Now, Request});
   Replayed = true;
   return true;
 }
@@ -142,6 +150,7 @@
   StartGrants.clear();
   Evicting.clear();
   Claims.clear();
+  Endings.clear();
 }
 
 void ShardOwner::backOff() {
@@ -156,9 +165,41 @@
   for (const Event &Each : Events) {
     Table.apply(Each);
     Batch.push_back(Each);
+    noteEnding(Each);
+  }
+}
+
+void ShardOwner::noteEnding(const Event &Change) {
+  const TimePoint Now = Time.now();
+  if (const auto *Answered = std::get_if<RequestEnded>(&Change))
+    Endings.push_back({Now, Answered->Request});
+  if (const auto *Submitted = std::get_if<JobSubmitted>(&Change))
+    if (Submitted->Tasks.empty())
+      Endings.push_back({Now, Submitted->Job});
+  if (const auto *Ended = std::get_if<TaskEnded>(&Change)) {
+    const JobId &Job = Table.task(Ended->Task)->Job;
+    if (Table.hasEnded(Job))
+      Endings.push_back({Now, Job});
   }
 }
 
+void ShardOwner::retire() {
+  Retired Due;
+  std::size_t Count = 0;
+  while (!Endings.empty() && Count < MaxRetired &&
+         Time.now() - Endings.front().At >= Settings.RetainEnded) {
+    const auto &What = Endings.front().What;
+    if (const auto *Job = std::get_if<JobId>(&What))
+      Due.Jobs.push_back(*Job);
+    else
+      Due.Requests.push_back(std::get<RequestId>(What));
+    Endings.pop_front();
+    ++Count;
+  }
+  if (Count != 0)
+    record({Due});
+}
+
 void ShardOwner::emit(Action Message) {
   const std::uint64_t Needs = Batch.empty() ? NextBatch - 1 : NextBatch;
   Outbox.push_back({std::move(Message), Needs});
@@ -451,6 +492,8 @@
   const std::set<RequestId> Unsettled = Table.unsettled();
   for (const RequestId &Request : Unsettled)
     chaseClaim(Request);
+
+  retire();
 }
 
 void ShardOwner::repeatTaskOrders(const TaskId &Task) {
--- a/src/record/LineBuilder.cpp
+++ b/src/record/LineBuilder.cpp
@@ -127,6 +127,10 @@
       std::to_string(Change.Status));
 }
 
+void LineBuilder::on(const Retired &) {
+  // Nothing ran; the details only left the owner's memory.
+}
+
 void LineBuilder::on(const RequestsServed &Change) {
   const WallMillis Written = Template.At;
   for (const ServedRequest &One : Change.Requests) {
--- a/src/record/LineBuilder.h
+++ b/src/record/LineBuilder.h
@@ -36,6 +36,7 @@
   void on(const RequestClaimed &Change);
   void on(const RequestEnded &Change);
   void on(const RequestsServed &Change);
+  void on(const Retired &Change);
   void add(const Origin &From, const char *What, std::string Detail);
   void addAttempt(const TaskId &Task, AttemptNumber Attempt, const char *What);
 
--- a/tests/jobs/JobTableTest.cpp
+++ b/tests/jobs/JobTableTest.cpp
@@ -87,6 +87,30 @@
   REQUIRE(Setup.Table.task(Task)->Outcome == TaskOutcome::Cancelled);
 }
 
+// Guards against an owner whose memory grows with every job and request that
+// ever ended, and against a retired id that runs again.
+TEST_CASE("retired ids stay taken") {
+  Fixture Setup;
+  const RequestClaimed Claim{
+      RequestId("r"), CallerId("lead"), ServiceId("s"), "d", {}};
+  Setup.Table.apply(Claim);
+  REQUIRE_THROWS_AS(Setup.Table.apply(Retired{{}, {Claim.Request}}),
+                    InvalidEvent);
+  REQUIRE_THROWS_AS(Setup.Table.apply(Retired{{JobId("roster")}, {}}),
+                    InvalidEvent);
+
+  Setup.Table.apply(
+      RequestEnded{Claim.Request, RequestOutcome::Answered, 200, "answer"});
+  Setup.apply(Setup.Table.cancel(JobId("roster"), CallerId("lead")));
+  Setup.Table.apply(Setup.Table.retirable());
+  REQUIRE(Setup.Table.task(Task) == nullptr);
+  REQUIRE(Setup.Table.request(Claim.Request)->End.Body.empty());
+  REQUIRE(std::holds_alternative<AlreadyDone>(Setup.Table.claim(Claim)));
+  REQUIRE(std::holds_alternative<AlreadyDone>(
+      Setup.Table.cancel(JobId("roster"), CallerId("lead"))));
+  REQUIRE(Setup.Table.retirable().Jobs.empty());
+}
+
 // Guards against a log that is replayed although it contradicts itself.
 TEST_CASE("an event that does not follow is refused") {
   Fixture Setup;
--- a/tests/sim/Oracle.h
+++ b/tests/sim/Oracle.h
@@ -234,6 +234,7 @@
       fail("log: " + Change.Request.str() + " is settled twice");
   }
   void on(const RequestsServed &) {}
+  void on(const Retired &) {}
 
   const StoreContents &Contents;
   std::uint64_t EntriesRead[ShardCount] = {};
--- a/tests/sim/WorldEntry.h
+++ b/tests/sim/WorldEntry.h
@@ -65,12 +65,15 @@
   Process.Objects = std::make_unique<MemoryObjects>(Contents);
   for (std::uint64_t Shard = 0; Shard < Oracle::ShardCount; ++Shard) {
     JournalSettings Settings;
+    ShardOwnerSettings OwnerSettings;
+    OwnerSettings.RetainEnded = Millis(15'000);
     Settings.EntriesPerSnapshot = 8;
     Process.Journals.push_back(std::make_unique<ShardJournal>(
         shardPartition(ShardId(Shard)), Process.Id, "", *Process.Table,
         *Process.Objects, Self.Time, Settings));
-    Process.Owners.push_back(std::make_unique<ShardOwner>(
-        ShardId(Shard), *Process.Journals.back(), Self.Time, Chance.next()));
+    Process.Owners.push_back(
+        std::make_unique<ShardOwner>(ShardId(Shard), *Process.Journals.back(),
+                                     Self.Time, Chance.next(), OwnerSettings));
   }
   scheduleTick(Index, Life);
 }
