--- a/include/daisyspool/jobs/ShardOwner.h
+++ b/include/daisyspool/jobs/ShardOwner.h
@@ -81,6 +81,7 @@
   Duration TaskLease = Millis(10'000);
   Duration ShardLease = Millis(6000);
   Duration AppendEvery = Millis(100);
+  Duration SnapshotEvery = Millis(10'000);
   /// Pace of repeated orders and of reads of the head by a candidate.
   Duration RepeatEvery = Millis(500);
   Duration ObserveEvery = Millis(2000);
@@ -88,6 +89,8 @@
   /// request is settled as unknown at the limit.
   Duration QueryEvery = Millis(2000);
   Duration SettleLimit = Millis(60'000);
+  /// How long ended jobs and answers are kept for callers that ask again.
+  Duration RetainEnded = std::chrono::hours(1);
   Duration BackoffBase = Millis(50);
   Duration BackoffCap = Millis(1000);
 };
@@ -114,7 +117,8 @@
   ShardOwner &operator=(const ShardOwner &) = delete;
 
   /// Observes, takes over, replays, settles, appends or renews, whatever is
-  /// due. Throws JournalCorrupt or InvalidEvent if the log is damaged.
+  /// due. Throws JournalCorrupt or InvalidEvent if the log is damaged, and
+  /// PlatformProtocolError.
   std::vector<Action> step();
 
   /// Whether this process owns the shard, has replayed it and may accept work.
@@ -171,6 +175,12 @@
     std::vector<CallerRef> Waiters;
   };
 
+  /// Something that has ended and when.
+  struct Ending {
+    TimePoint At;
+    std::variant<JobId, RequestId> What;
+  };
+
   bool takeOver();
   bool replay();
   void persist();
@@ -180,11 +190,14 @@
   void repeatOrders();
   void repeatTaskOrders(const TaskId &Task);
   void chaseClaim(const RequestId &Request);
+  void noteEnding(const Event &Change);
+  void retire();
   std::vector<Action> release();
-  bool stillValid(StartOrder &Order);
-  bool stillValid(RenewalReply &Reply);
-  bool stillValid(RunOrder &Order);
-  template <typename Other> bool stillValid(Other &) { return true; }
+  bool stillValid(const StartOrder &Order) const;
+  bool stillValid(const RunOrder &Order) const;
+  template <typename Other> bool stillValid(const Other &) const {
+    return true;
+  }
 
   void record(const std::vector<Event> &Events);
   void emit(Action Message);
@@ -225,9 +238,11 @@
   std::map<TaskId, std::uint64_t> Evicting;
   std::map<RequestId, ClaimProgress> Claims;
   std::map<ProcessId, SeenForwards> Forwards;
+  std::deque<Ending> Endings;
 
   std::optional<TimePoint> LastObserve;
   std::optional<TimePoint> LastAppend;
+  std::optional<TimePoint> LastSnapshot;
   std::optional<TimePoint> LastRepeat;
   TimePoint RetryAt{};
   std::uint32_t FailedCalls = 0;
--- a/src/jobs/ShardOwner.cpp
+++ b/src/jobs/ShardOwner.cpp
@@ -10,6 +10,9 @@
 /// Sequence numbers kept for each entry; older ones count as handled.
 constexpr std::size_t ForwardWindow = 4096;
 
+/// Bound of what one event retires, so that it stays small.
+constexpr std::size_t MaxRetired = 500;
+
 constexpr std::uint32_t MaxBackoffDoublings = 10;
 
 } // namespace
@@ -77,6 +80,11 @@
   const TimePoint Now = Time.now();
   for (const RequestId &Request : Table.unsettled())
     Claims[Request] = {Now, Now - Settings.QueryEvery, {}};
+  const Retired Ended = Table.retirable();
+  for (const JobId &Job : Ended.Jobs)
+    Endings.push_back({Now, Job});
+  for (const RequestId &Request : Ended.Requests)
+    Endings.push_back({Now, Request});
   Replayed = true;
   return true;
 }
@@ -91,8 +99,14 @@
       (!LastAppend || Now - *LastAppend >= Settings.AppendEvery))
     appendBatch();
 
-  if (!Journal.hasPending() && Batch.empty() && Journal.wantsSnapshot())
+  // The object store may be down for long; each attempt may block.
+  const bool SnapshotIsDue =
+      !LastSnapshot || Now - *LastSnapshot >= Settings.SnapshotEvery;
+  if (!Journal.hasPending() && Batch.empty() && SnapshotIsDue &&
+      Journal.wantsSnapshot()) {
+    LastSnapshot = Now;
     Journal.saveSnapshot(Table.snapshot());
+  }
   if (!Journal.hasPending())
     Journal.renewIfDue();
   if (Journal.hasPending())
@@ -136,6 +150,7 @@
   StartGrants.clear();
   Evicting.clear();
   Claims.clear();
+  Endings.clear();
 }
 
 void ShardOwner::backOff() {
@@ -150,7 +165,39 @@
   for (const Event &Each : Events) {
     Table.apply(Each);
     Batch.push_back(Each);
+    noteEnding(Each);
+  }
+}
+
+void ShardOwner::noteEnding(const Event &Change) {
+  const TimePoint Now = Time.now();
+  if (const auto *Answered = std::get_if<RequestEnded>(&Change))
+    Endings.push_back({Now, Answered->Request});
+  if (const auto *Submitted = std::get_if<JobSubmitted>(&Change))
+    if (Submitted->Tasks.empty())
+      Endings.push_back({Now, Submitted->Job});
+  if (const auto *Ended = std::get_if<TaskEnded>(&Change)) {
+    const JobId &Job = Table.task(Ended->Task)->Job;
+    if (Table.hasEnded(Job))
+      Endings.push_back({Now, Job});
+  }
+}
+
+void ShardOwner::retire() {
+  Retired Due;
+  std::size_t Count = 0;
+  while (!Endings.empty() && Count < MaxRetired &&
+         Time.now() - Endings.front().At >= Settings.RetainEnded) {
+    const auto &What = Endings.front().What;
+    if (const auto *Job = std::get_if<JobId>(&What))
+      Due.Jobs.push_back(*Job);
+    else
+      Due.Requests.push_back(std::get<RequestId>(What));
+    Endings.pop_front();
+    ++Count;
   }
+  if (Count != 0)
+    record({Due});
 }
 
 void ShardOwner::emit(Action Message) {
@@ -174,33 +221,18 @@
   while (!Outbox.empty() && Outbox.front().Needs <= DurableBatch) {
     Action Message = std::move(Outbox.front().Message);
     Outbox.pop_front();
-    if (std::visit([this](auto &One) { return stillValid(One); }, Message))
+    if (std::visit([this](const auto &One) { return stillValid(One); },
+                   Message))
       Result.push_back(std::move(Message));
   }
   return Result;
 }
 
-bool ShardOwner::stillValid(StartOrder &Order) {
-  if (!Table.isCurrent(Order.Task, Order.Attempt))
-    return false;
-
-  Leases.granted(Order.Task, Time.now());
-  return true;
+bool ShardOwner::stillValid(const StartOrder &Order) const {
+  return Table.isCurrent(Order.Task, Order.Attempt);
 }
 
-bool ShardOwner::stillValid(RenewalReply &Reply) {
-  // An attempt may have been given up while the reply waited for the store.
-  std::erase_if(Reply.Rulings, [this](const Ruling &One) {
-    return One.Decision != Verdict::Stop &&
-           !Table.isCurrent(One.Task, One.Attempt);
-  });
-  for (const Ruling &One : Reply.Rulings)
-    if (One.Decision != Verdict::Stop)
-      Leases.granted(One.Task, Time.now());
-  return true;
-}
-
-bool ShardOwner::stillValid(RunOrder &Order) {
+bool ShardOwner::stillValid(const RunOrder &Order) const {
   return Table.unsettled().count(Order.Request) != 0;
 }
 
@@ -361,6 +393,8 @@
   RenewalReply Reply{Shard, Journal.epoch(), Request.Sender, {}};
   for (const HeldAttempt &Held : Request.Held) {
     const Verdict Decision = rule(Held);
+    // The lease counts from the request, so that it ends in time even if the
+    // reply waits for the store.
     if (Decision != Verdict::Stop)
       Leases.granted(Held.Task, Time.now());
     Reply.Rulings.push_back({Held.Task, Held.Attempt, Decision});
@@ -458,6 +492,8 @@
   const std::set<RequestId> Unsettled = Table.unsettled();
   for (const RequestId &Request : Unsettled)
     chaseClaim(Request);
+
+  retire();
 }
 
 void ShardOwner::repeatTaskOrders(const TaskId &Task) {
