Keep network time out of service estimates and shorten queues

Cause: with links of 60 ms one way, one deployment's urgent p99 rose to 248 ms and 1.5% of its urgent requests were refused. The time on the link counted as service time and as slots held, so batch work took the home slots of urgent requests. Under the urgent flood, answers came close to their deadline, and a rare pause of a worker made some late.

Change: mean service time is the time at the target. The router itself counts the home slots that more urgent classes hold. Queueing may use a quarter of a request's slack instead of half.

--- a/bench/RequestEntries.h
+++ b/bench/RequestEntries.h
@@ -178,6 +178,7 @@
   RouteRequest route(const BenchRequest &Request, AttemptKind Kind) const {
     WorkClass Class = Request.Load->Class;
     RouteRequest Asked;
+    Asked.Class = Class;
     Asked.Holds = Request.holds();
     Asked.Kind = Kind;
     Asked.Idempotent = Request.Load->Idempotent;
@@ -185,7 +186,7 @@
     Asked.ExpectedService = Queue.expectedService(Class);
     Asked.Waiting = Queue.queued(Class) + 1;
     if (Options.KeepHomeFree)
-      Asked.KeepFreeAtHome = Queue.reservedAbove(Class);
+      Asked.KeptAbove = Queue.keptAbove(Class);
     Asked.Tried = Request.Tried;
     return Asked;
   }
@@ -197,7 +198,7 @@
     RouteRequest Asked = route(*Request, Kind);
     auto Id = Routes.choose(Asked, Fleet.now());
     if (!Id && Routes.lastDecision().Reason == RouteReason::BudgetSpent) {
-      Queue.onDone(Granted, {}, false);
+      Queue.onDone(Granted, {}, {}, false);
       Live.erase(Request->Key);
       end(*Request, Ending::Failed);
       return true;
@@ -288,7 +289,7 @@
       return;
 
     Duration Took = Fleet.now() - Request->GrantedAt;
-    Queue.onDone(Request->Granted, Took, true);
+    Queue.onDone(Request->Granted, Took, Answer.Load.AtTarget, true);
     if (Request->holds() == Occupies::Slot)
       Hedging[static_cast<std::size_t>(Request->Load->Class)].onReply(Took);
     Live.erase(Request->Key);
@@ -310,7 +311,8 @@
       failed(Request);
       return;
     }
-    Queue.onDone(Request->Granted, Fleet.now() - Request->GrantedAt, false);
+    Duration Took = Fleet.now() - Request->GrantedAt;
+    Queue.onDone(Request->Granted, Took, Took, false);
     Live.erase(Request->Key);
     end(*Request, Ending::RefusedUnrun);
   }
@@ -322,7 +324,8 @@
       if (Other.Open)
         return;
 
-    Queue.onDone(Request->Granted, Fleet.now() - Request->GrantedAt, false);
+    Duration Took = Fleet.now() - Request->GrantedAt;
+    Queue.onDone(Request->Granted, Took, Took, false);
     if (!Request->Load->Idempotent || Request->holds() != Occupies::Slot) {
       Live.erase(Request->Key);
       end(*Request, Ending::Failed);
--- a/bench/decision_cost_bench.cpp
+++ b/bench/decision_cost_bench.cpp
@@ -153,7 +153,7 @@
   measure("admission", Count, [&] {
     Now += std::chrono::microseconds(100);
     Offer();
-    Queue.onDone(Running.front(), Millis(12), true);
+    Queue.onDone(Running.front(), Millis(12), Millis(8), true);
     Running.pop_front();
     while (auto Next = Queue.next(Now))
       Running.push_back(*Next);
--- a/include/daisyspool/admission/AdmissionQueue.h
+++ b/include/daisyspool/admission/AdmissionQueue.h
@@ -49,7 +49,7 @@
   /// The part of a request's slack that it may be expected to wait. In an
   /// overload a longer queue only delays every answer to its deadline, which
   /// leaves no room for an unusually slow one.
-  double WaitPart = 0.5;
+  double WaitPart = 0.25;
   /// How long demand is remembered.
   Duration DemandWindow = std::chrono::seconds(5);
   /// Teams without an account of their own beyond this share one.
@@ -170,9 +170,11 @@
   /// Returns a request that found no target. Its charge is undone.
   void restore(const Dispatch &Unsent, TimePoint Now);
 
-  /// Ends a request. \p Service is the time from dispatch to the answer; it is
-  /// learned only if the request \p Succeeded, since failures may be quick.
-  void onDone(const Dispatch &Ended, Duration Service, bool Succeeded);
+  /// Ends a request. \p Total is the time from dispatch to the answer, and
+  /// \p AtTarget the part without the network, or \p Total if unknown. Both
+  /// are learned only if the request \p Succeeded, since failures may be quick.
+  void onDone(const Dispatch &Ended, Duration Total, Duration AtTarget,
+              bool Succeeded);
 
   /// Refuses queued requests whose deadline has become infeasible. Call about
   /// once a millisecond; collect the refusals with nextRefused.
@@ -187,7 +189,10 @@
   /// Slots kept free for classes more urgent than \p Class.
   std::uint32_t reservedAbove(WorkClass Class) const;
 
-  /// Mean time from dispatch to answer.
+  /// Slots kept for classes more urgent than \p Class, free or held by them.
+  std::uint32_t keptAbove(WorkClass Class) const;
+
+  /// Mean time at the target.
   Duration expectedService(WorkClass Class) const;
 
 private:
@@ -226,10 +231,12 @@
   };
 
   struct Learned {
-    ServiceEstimate Times;
+    /// Times from dispatch to answer.
+    ServiceEstimate Totals;
+    /// Mean time at the target, which the state of the network does not change.
     Duration Mean;
     Duration High;
-    std::uint32_t SinceUpdate = 0;
+    std::uint64_t Samples = 0;
   };
 
   std::uint32_t teamIndex(const TeamId &Team);
@@ -242,6 +249,7 @@
   void decayDemand(Lane &In, TimePoint Now);
   Duration estimateWait(const Pool &In, WorkClass Class, const Account &Team,
                         std::uint32_t TeamIndex, TimePoint Deadline) const;
+  double keptFor(const Pool &In, WorkClass Class) const;
   std::uint32_t reservedAbove(const Pool &In, WorkClass Class) const;
   bool mayStart(const Pool &In, Occupies Holds, WorkClass Class) const;
   AdmissionInputs inputs(const Pool &In, const Work &Request,
--- a/include/daisyspool/routing/Router.h
+++ b/include/daisyspool/routing/Router.h
@@ -71,16 +71,18 @@
 enum class AttemptKind : std::uint8_t { First, Retry, Hedge };
 
 struct RouteRequest {
+  WorkClass Class = WorkClass::Urgent;
   Occupies Holds = Occupies::Slot;
   AttemptKind Kind = AttemptKind::First;
   bool Idempotent = false;
   Duration Remaining{};
-  /// Mean time from dispatch to answer of the request's class.
+  /// Mean time at the target of the request's class.
   Duration ExpectedService{};
   /// Requests of the class that wait in this entry, this one included.
   std::uint32_t Waiting = 1;
-  /// Slots to leave free in the home domain for more urgent classes.
-  std::uint32_t KeepFreeAtHome = 0;
+  /// Slots that more urgent classes need, as AdmissionQueue::keptAbove says.
+  /// As many in the home domain are left to them.
+  std::uint32_t KeptAbove = 0;
   /// Targets that earlier attempts used.
   std::span<const TargetId> Tried;
 };
@@ -120,6 +122,7 @@
   Duration HomeTime{};
   Duration ExtraDelay{};
   std::uint32_t HomeFree = 0;
+  /// Free slots that this leaves to more urgent classes.
   std::uint32_t KeepFreeAtHome = 0;
 };
 
@@ -127,6 +130,7 @@
 struct AttemptTicket {
   std::uint32_t Index = 0;
   std::uint32_t Generation = 0;
+  WorkClass Class = WorkClass::Urgent;
   Occupies Holds = Occupies::Slot;
   bool Probe = false;
   /// Part of a slot that the attempt counts for.
@@ -233,6 +237,7 @@
     std::uint32_t Generation = 0;
     State Is = State::Serving;
     std::uint32_t OwnSlots = 0;
+    std::array<std::uint32_t, WorkClassCount> OwnSlotsOf{};
     /// Sum of the weights of the attempts that hold the own slots.
     double Occupied = 0;
     std::uint32_t OwnConnections = 0;
@@ -298,6 +303,7 @@
   Duration extraDelay(const Domain &To, TimePoint Now) const;
   void considerRemote(const RouteRequest &Request, TimePoint Now);
   TargetId decide(RouteReason Reason, std::uint32_t Index);
+  std::uint32_t keepFreeAtHome(const RouteRequest &Request) const;
   Target *find(const AttemptTicket &Ticket);
   void settle(Target &T, const AttemptTicket &Ticket);
   void noteLoad(Target &T, const LoadReport &Load, TimePoint Now);
@@ -318,6 +324,8 @@
   /// Sum of the weights of all attempts that hold slots, and their number.
   double Occupied = 0;
   std::uint32_t SlotsInUse = 0;
+  /// Slots in the home domain that each class holds.
+  std::array<std::uint32_t, WorkClassCount> HeldAtHome{};
   std::uint32_t Live = 0;
   std::uint32_t Ejected = 0;
   RouteDecision Last;
--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -14,6 +14,8 @@
 // Longest time whose service a blocked class may claim back at once. A larger
 // claim lets a class that was held back by the reserve shut out the others.
 constexpr Duration MaxCatchUp = Millis(50);
+// Weight of one sample in the running mean once the mean is established.
+constexpr double MeanWeight = 1.0 / 256;
 // Quantiles are read from the histogram once for this many samples.
 constexpr std::uint32_t SamplesPerUpdate = 32;
 // The account that teams beyond MaxTeams share.
@@ -177,8 +179,8 @@
   push(In, Unsent.Class, Unsent.TeamIndex, Item);
 }
 
-void AdmissionQueue::onDone(const Dispatch &Ended, Duration Service,
-                            bool Succeeded) {
+void AdmissionQueue::onDone(const Dispatch &Ended, Duration Total,
+                            Duration AtTarget, bool Succeeded) {
   Pool &In = poolOf(Ended.Holds);
   Lane &Of = laneOf(In, Ended.Class);
   Account &Team = accountOf(Of, Ended.TeamIndex);
@@ -189,19 +191,21 @@
   if (Ended.Holds == Occupies::ConnectionOnly)
     return;
 
-  double Correction = nanos(Service - Ended.Charged);
+  double Correction = nanos(AtTarget - Ended.Charged);
   Of.Virtual += Correction / Settings.Classes[indexOf(Ended.Class)].Share;
   Team.Virtual += Correction / Quotas[Ended.TeamIndex].Weight;
   if (!Succeeded)
     return;
 
   Learned &Known = Services[indexOf(Ended.Class)];
-  Known.Times.add(Service);
-  if (++Known.SinceUpdate >= SamplesPerUpdate) {
-    Known.SinceUpdate = 0;
-    Known.Mean = Known.Times.mean();
-    Known.High = Known.Times.quantile(Settings.ServiceQuantile);
-  }
+  ++Known.Samples;
+  double Weight =
+      std::max(MeanWeight, 1.0 / static_cast<double>(Known.Samples));
+  Known.Mean += Duration(
+      static_cast<Duration::rep>(Weight * nanos(AtTarget - Known.Mean)));
+  Known.Totals.add(Total);
+  if (Known.Samples % SamplesPerUpdate == 0)
+    Known.High = Known.Totals.quantile(Settings.ServiceQuantile);
 }
 
 void AdmissionQueue::dropLate(TimePoint Now) {
@@ -252,6 +256,14 @@
   return reservedAbove(Pools[static_cast<std::size_t>(Occupies::Slot)], Class);
 }
 
+std::uint32_t AdmissionQueue::keptAbove(WorkClass Class) const {
+  const Pool &Slots = Pools[static_cast<std::size_t>(Occupies::Slot)];
+  double Sum = 0;
+  for (std::size_t Index = 0; Index < indexOf(Class); ++Index)
+    Sum += keptFor(Slots, static_cast<WorkClass>(Index));
+  return static_cast<std::uint32_t>(Sum);
+}
+
 Duration AdmissionQueue::expectedService(WorkClass Class) const {
   return learned(Class).Mean;
 }
@@ -347,19 +359,22 @@
                                             WorkClass Class) const {
   double Sum = 0;
   for (std::size_t Index = 0; Index < indexOf(Class); ++Index) {
-    const ClassPolicy &Policy = Settings.Classes[Index];
-    if (!Policy.ReserveDeviations)
-      continue;
-    const Lane &Of = In.Lanes[Index];
-    double Wanted =
-        Of.Demand + *Policy.ReserveDeviations * std::sqrt(Of.Demand);
-    double Guaranteed = Policy.Share * In.Capacity;
-    double Kept = std::ceil(std::min(Wanted, Guaranteed));
-    Sum += std::max(Kept - Of.Running, 0.0);
+    double Kept = keptFor(In, static_cast<WorkClass>(Index));
+    Sum += std::max(Kept - In.Lanes[Index].Running, 0.0);
   }
   return static_cast<std::uint32_t>(Sum);
 }
 
+double AdmissionQueue::keptFor(const Pool &In, WorkClass Class) const {
+  const ClassPolicy &Policy = Settings.Classes[indexOf(Class)];
+  if (!Policy.ReserveDeviations)
+    return 0;
+
+  double Demand = In.Lanes[indexOf(Class)].Demand;
+  double Wanted = Demand + *Policy.ReserveDeviations * std::sqrt(Demand);
+  return std::ceil(std::min(Wanted, Policy.Share * In.Capacity));
+}
+
 bool AdmissionQueue::mayStart(const Pool &In, Occupies Holds,
                               WorkClass Class) const {
   if (In.Running >= In.Capacity)
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -127,6 +127,9 @@
   T.Is = State::Gone;
   refresh(Index, Now);
   SlotsInUse -= T.OwnSlots;
+  if (T.Domain == 0)
+    for (std::size_t Class = 0; Class < WorkClassCount; ++Class)
+      HeldAtHome[Class] -= T.OwnSlotsOf[Class];
   Occupied -= T.Occupied;
   Indexes.erase(Found);
   --Live;
@@ -139,7 +142,7 @@
 std::optional<TargetId> Router::choose(const RouteRequest &Request,
                                        TimePoint Now) {
   Last = RouteDecision{};
-  Last.KeepFreeAtHome = Request.KeepFreeAtHome;
+  Last.KeepFreeAtHome = keepFreeAtHome(Request);
   runRechecks(Now);
 
   if (Request.Kind != AttemptKind::First) {
@@ -158,8 +161,8 @@
   const Domain &Home = Domains.front();
   Last.HomeFree = Home.SlotsFree;
   Last.Home = sample(Home, Request, Now);
-  bool Kept = Request.Holds == Occupies::Slot && Request.KeepFreeAtHome > 0 &&
-              Home.SlotsFree <= Request.KeepFreeAtHome;
+  bool Kept = Request.Holds == Occupies::Slot && Last.KeepFreeAtHome > 0 &&
+              Home.SlotsFree <= Last.KeepFreeAtHome;
   Last.HomeTime = Duration::max();
   if (Last.Home && !Kept)
     Last.HomeTime = Last.Home->Estimate;
@@ -202,6 +205,9 @@
     T.Occupied += Weight;
     Occupied += Weight;
     ++T.OwnSlots;
+    ++T.OwnSlotsOf[static_cast<std::size_t>(Request.Class)];
+    if (T.Domain == 0)
+      ++HeldAtHome[static_cast<std::size_t>(Request.Class)];
     ++SlotsInUse;
   }
   refresh(Index, Now);
@@ -209,6 +215,7 @@
   AttemptTicket Ticket;
   Ticket.Index = Index;
   Ticket.Generation = T.Generation;
+  Ticket.Class = Request.Class;
   Ticket.Holds = Request.Holds;
   Ticket.Probe = Probe;
   Ticket.Weight = Weight;
@@ -649,6 +656,14 @@
   return Targets[Index].Info.Id;
 }
 
+std::uint32_t Router::keepFreeAtHome(const RouteRequest &Request) const {
+  std::uint32_t Held = 0;
+  for (std::size_t Class = 0; Class < static_cast<std::size_t>(Request.Class);
+       ++Class)
+    Held += HeldAtHome[Class];
+  return Request.KeptAbove - std::min(Held, Request.KeptAbove);
+}
+
 Router::Target *Router::find(const AttemptTicket &Ticket) {
   if (Ticket.Index >= Targets.size() ||
       Targets[Ticket.Index].Generation != Ticket.Generation)
@@ -667,6 +682,9 @@
 
   assert(T.OwnSlots > 0 && SlotsInUse > 0);
   --T.OwnSlots;
+  --T.OwnSlotsOf[static_cast<std::size_t>(Ticket.Class)];
+  if (T.Domain == 0)
+    --HeldAtHome[static_cast<std::size_t>(Ticket.Class)];
   --SlotsInUse;
   // Zero is set exactly, so that rounding does not add up.
   T.Occupied = T.OwnSlots == 0 ? 0 : T.Occupied - Ticket.Weight;
--- a/tests/admission/AdmissionQueueTest.cpp
+++ b/tests/admission/AdmissionQueueTest.cpp
@@ -22,6 +22,7 @@
 
 AdmissionSettings settings() {
   AdmissionSettings Settings;
+  Settings.WaitPart = 1;
   for (ClassPolicy &Policy : Settings.Classes) {
     Policy.InitialService = Millis(10);
     Policy.MaxQueued = 8;
@@ -96,7 +97,7 @@
     return;
   }
   Oracle.Phases[Ended.Key] = QueueOracle::Phase::Done;
-  Queue.onDone(Ended, Millis(*rc::gen::inRange(1, 30)), true);
+  Queue.onDone(Ended, Millis(30), Millis(*rc::gen::inRange(1, 30)), true);
 }
 
 void stepChecked(AdmissionQueue &Queue, QueueOracle &Oracle, TimePoint &Now) {
@@ -156,7 +157,7 @@
 
       Now = Ends.top().first;
       const Dispatch &Ended = Started[Ends.top().second];
-      Queue.onDone(Ended, service(Ended.Class), true);
+      Queue.onDone(Ended, service(Ended.Class), service(Ended.Class), true);
       Ends.pop();
     }
   }
@@ -259,17 +260,52 @@
   REQUIRE(std::get<Refused>(TooShort).Reason == RefusalReason::Late);
   REQUIRE(std::get<Refused>(TooShort).Executed == Execution::NotRun);
 
-  // A request may be expected to wait for half of its slack: here 10 ms of 20
-  // behind the running one, and 20 ms of 39 behind two.
   Queue.offer(work(2, WorkClass::Urgent), at(Millis(0)));
-  auto Behind = Queue.offer(work(3, WorkClass::Urgent, "blue", Millis(30)),
+  auto Behind = Queue.offer(work(3, WorkClass::Urgent, "blue", Millis(25)),
                             at(Millis(0)));
   REQUIRE(std::holds_alternative<Queued>(Behind));
   auto TooFarBehind = Queue.offer(
-      work(4, WorkClass::Urgent, "blue", Millis(49)), at(Millis(0)));
+      work(4, WorkClass::Urgent, "blue", Millis(26)), at(Millis(0)));
   REQUIRE(std::get<Refused>(TooFarBehind).Reason == RefusalReason::Late);
 }
 
+// Guards against a queue so long that every answer comes just before its
+// deadline, which makes an unusually slow one late.
+TEST_CASE("queueing may use only a part of the slack") {
+  AdmissionSettings Settings = settings();
+  Settings.WaitPart = 0.25;
+  AdmissionQueue Queue(Settings);
+  Queue.setCapacity(Occupies::Slot, 1);
+  Queue.offer(work(1, WorkClass::Urgent), at(Millis(0)));
+
+  // 10 ms of waiting is a quarter of the slack of 40 ms.
+  auto Patient = Queue.offer(work(2, WorkClass::Urgent, "blue", Millis(50)),
+                             at(Millis(0)));
+  REQUIRE(std::holds_alternative<Queued>(Patient));
+  auto Other =
+      Queue.offer(work(3, WorkClass::Urgent, "red", Millis(49)), at(Millis(0)));
+  REQUIRE(std::get<Refused>(Other).Reason == RefusalReason::Late);
+}
+
+// Guards against a slow link that looks like slow service, which made the
+// queue hold back more slots and the router wait and spill wrongly.
+TEST_CASE("time on the network does not count as service") {
+  AdmissionQueue Queue(settings());
+  Queue.setCapacity(Occupies::Slot, 1);
+  TimePoint Now = at(Millis(0));
+  for (std::uint64_t Key = 0; Key < 100; ++Key) {
+    auto Start = Queue.offer(work(Key, WorkClass::Urgent), Now);
+    Now += Millis(130);
+    Queue.onDone(std::get<Admitted>(Start).Start, Millis(130), Millis(10),
+                 true);
+  }
+
+  REQUIRE(Queue.expectedService(WorkClass::Urgent) == Millis(10));
+  auto Late =
+      Queue.offer(work(200, WorkClass::Urgent, "blue", Millis(120)), Now);
+  REQUIRE(std::get<Refused>(Late).Reason == RefusalReason::Late);
+}
+
 // Guards against running work whose caller has stopped waiting.
 TEST_CASE("queued work that became late is refused and not run") {
   AdmissionQueue Queue(settings());
@@ -278,7 +314,7 @@
   Queue.offer(work(2, WorkClass::Urgent, "blue", Millis(30)), at(Millis(0)));
   Queue.offer(work(3, WorkClass::Urgent, "blue", Millis(500)), at(Millis(0)));
 
-  Queue.onDone(std::get<Admitted>(First).Start, Millis(25), true);
+  Queue.onDone(std::get<Admitted>(First).Start, Millis(25), Millis(25), true);
   REQUIRE(Queue.next(at(Millis(25)))->Key == 3);
   REQUIRE(Queue.nextRefused()->Key == 2);
 }
@@ -292,7 +328,8 @@
   for (std::uint64_t Key = 0; Key < 2000; ++Key) {
     Now += Millis(10);
     auto Decision = Queue.offer(work(Key, WorkClass::Urgent), Now);
-    Queue.onDone(std::get<Admitted>(Decision).Start, Millis(10), true);
+    Queue.onDone(std::get<Admitted>(Decision).Start, Millis(10), Millis(10),
+                 true);
   }
 
   int Started = 0;
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -237,6 +237,45 @@
   REQUIRE(Of.choose(Waits, Now + std::chrono::minutes(2)) == TargetId("w2"));
 }
 
+// Guards against batch work that takes the home slots of urgent requests, which
+// must then cross to another domain.
+TEST_CASE("home slots kept for a more urgent class stay free") {
+  RetryBudget Budget;
+  Router Of(settings(), Budget, 1);
+  Of.setExtraDelay(FailureDomainId("langnau"), Millis(0));
+  Of.addTarget(target(1), at(Millis(0)), true);
+  Of.addTarget(target(2, "langnau"), at(Millis(0)), true);
+  RouteRequest Batch = request();
+  Batch.Class = WorkClass::Batch;
+  Batch.KeptAbove = 2;
+  while (auto Ticket = send(Of, Batch, at(Millis(1))))
+    continue;
+  REQUIRE(Of.slotsInFlight(TargetId("w1")) == 0);
+  REQUIRE(Of.slotsInFlight(TargetId("w2")) == 2);
+
+  // A held slot counts as kept, so one that more urgent work does not need
+  // goes to batch.
+  Batch.KeptAbove = 1;
+  REQUIRE(send(Of, request(), at(Millis(1))));
+  REQUIRE(Of.choose(Batch, at(Millis(1))) == TargetId("w1"));
+}
+
+// Guards against slots that stand idle during the round trip, which cost a
+// tenth of the capacity under a flood of short requests.
+TEST_CASE("a distant target gets attempts for its slots and the way there") {
+  RetryBudget Budget;
+  Router Of(settings(), Budget, 1);
+  Of.setExtraDelay(FailureDomainId("langnau"), Millis(5));
+  TargetInfo Distant = target(2, "langnau", 4);
+  Distant.Connections = 64;
+  Of.addTarget(Distant, at(Millis(0)), true);
+  int Sent = 0;
+  while (send(Of, request(), at(Millis(1))))
+    ++Sent;
+  REQUIRE(Sent == 6);
+  REQUIRE(Of.capacity(Occupies::Slot) == 6);
+}
+
 // Guards against a failing target that keeps its share, one that comes back
 // with full load, and one that never comes back.
 TEST_CASE("a failing target is ejected, probed and slowly started") {
