Recover from service estimates that refuse everything

Cause: a class whose learned service time exceeded the deadline was refused for good, since refused requests bring no new times.

Change: with idle slots the 99th percentile decides instead of the 99.99th; a class that is refused altogether gets one request through in 100 ms; learned times lose half of their weight in 10 s.

--- a/include/daisyspool/admission/AdmissionQueue.h
+++ b/include/daisyspool/admission/AdmissionQueue.h
@@ -46,6 +46,13 @@
       ClassPolicy{0.1, Millis(500), 4096, {}}};
   /// The part of service times that a deadline must leave room for.
   double ServiceQuantile = 0.9999;
+  /// The same while slots are idle, when a refusal saves nothing.
+  double IdleServiceQuantile = 0.99;
+  /// A class whose estimate refuses everything gets one request through at
+  /// this interval. Its estimate could never improve otherwise.
+  Duration SampleInterval = Millis(100);
+  /// Time in which a learned service time loses half of its weight.
+  Duration EstimateHalfLife = std::chrono::seconds(10);
   /// The part of a request's slack that it may be expected to wait. In an
   /// overload a longer queue only delays every answer to its deadline, which
   /// leaves no room for an unusually slow one.
@@ -89,6 +96,8 @@
   Duration Remaining{};
   Duration EstimatedWait{};
   Duration EstimatedService{};
+  /// Admitted in spite of the estimate, to correct it.
+  bool Sample = false;
   std::uint32_t QueuedInTeam = 0;
   std::uint32_t QueuedInClass = 0;
   std::uint32_t Running = 0;
@@ -176,8 +185,9 @@
   void onDone(const Dispatch &Ended, Duration Total, Duration AtTarget,
               bool Succeeded);
 
-  /// Refuses queued requests whose deadline has become infeasible. Call about
-  /// once a millisecond; collect the refusals with nextRefused.
+  /// Refuses queued requests whose deadline has become infeasible, and lets
+  /// old observations fade. Call about once a millisecond; collect the refusals
+  /// with nextRefused.
   void dropLate(TimePoint Now);
 
   /// A request refused after it was queued; each is returned once.
@@ -236,6 +246,9 @@
     /// Mean time at the target, which the state of the network does not change.
     Duration Mean;
     Duration High;
+    Duration IdleHigh;
+    TimePoint StartedAt{};
+    TimePoint FadedAt{};
     std::uint64_t Samples = 0;
   };
 
@@ -245,6 +258,7 @@
   Account &accountOf(Lane &In, std::uint32_t TeamIndex);
   const Learned &learned(WorkClass Class) const;
 
+  void updateQuantiles(Learned &Known) const;
   void noteDemand(Lane &In, WorkClass Class, TimePoint Now);
   void decayDemand(Lane &In, TimePoint Now);
   Duration estimateWait(const Pool &In, WorkClass Class, const Account &Team,
--- a/include/daisyspool/admission/ServiceEstimate.h
+++ b/include/daisyspool/admission/ServiceEstimate.h
@@ -9,10 +9,11 @@
 
 namespace daisyspool {
 
-/// Learned distribution of durations: a mean and any quantile, in fixed memory.
+/// Learned distribution of durations: any quantile, in fixed memory.
 ///
 /// Samples fall into logarithmic buckets a quarter of a power of two wide.
-/// Counts are halved at a bound, so that old samples lose weight. Use it for
+/// Counts are halved at a bound and by fade(), so that old samples lose weight.
+/// Use it for
 /// service times that decide whether a deadline can be met and for the delay
 /// before a hedge. See AdmissionQueue and HedgePolicy.
 ///
@@ -24,23 +25,21 @@
 
   void add(Duration Sample);
 
-  Duration mean() const;
-
   /// The upper edge of the bucket that holds quantile \p Quantile, in [0, 1].
   Duration quantile(double Quantile) const;
 
+  /// Halves the weight of all samples so far.
+  void fade();
+
 private:
   static constexpr std::size_t BucketsPerOctave = 4;
   static constexpr std::size_t BucketCount = 160;
   static constexpr std::uint32_t MinSamples = 20;
   static constexpr std::uint32_t HalvingCount = 1U << 14;
 
-  void halve();
-
   Duration Initial;
   std::array<std::uint32_t, BucketCount> Buckets{};
   std::uint32_t Count = 0;
-  double MeanNanos = 0;
 };
 
 } // namespace daisyspool
--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -44,6 +44,7 @@
          " remaining=" + millis(Inputs.Remaining) +
          " estimated_wait=" + millis(Inputs.EstimatedWait) +
          " estimated_service=" + millis(Inputs.EstimatedService) +
+         (Inputs.Sample ? " sample=true" : "") +
          " queued_in_team=" + std::to_string(Inputs.QueuedInTeam) +
          " queued_in_class=" + std::to_string(Inputs.QueuedInClass) +
          " running=" + std::to_string(Inputs.Running) +
@@ -96,7 +97,10 @@
   for (const ClassPolicy &Policy : Settings.Classes) {
     assert(Policy.Share > 0);
     Services.push_back({ServiceEstimate(Policy.InitialService),
-                        Policy.InitialService, Policy.InitialService});
+                        Policy.InitialService,
+                        Policy.InitialService,
+                        Policy.InitialService,
+                        {}});
   }
 }
 
@@ -129,17 +133,25 @@
 
   if (In.Capacity == 0)
     return Refusal(RefusalReason::NoCapacity);
-  Duration Slack = Request.Remaining - Why.EstimatedService;
-  if (Slack < Duration::zero() ||
-      nanos(Wait) > nanos(Slack) * Settings.WaitPart)
-    return Refusal(RefusalReason::Late);
 
   const TeamQuota &Quota = Quotas[TeamIndex];
-  if (Of.Queued == 0 && Team.Running < Quota.MaxRunning &&
-      mayStart(In, Request.Holds, Request.Class))
+  bool Idle = Of.Queued == 0 && Team.Running < Quota.MaxRunning &&
+              mayStart(In, Request.Holds, Request.Class);
+  if (Idle && Request.Holds == Occupies::Slot)
+    Why.EstimatedService = learned(Request.Class).IdleHigh;
+  Duration Slack = Request.Remaining - Why.EstimatedService;
+  Why.Sample =
+      Idle && Slack < Duration::zero() &&
+      Request.Remaining > Duration::zero() &&
+      Now - learned(Request.Class).StartedAt >= Settings.SampleInterval;
+  if (Slack < Duration::zero() && !Why.Sample)
+    return Refusal(RefusalReason::Late);
+  if (Idle)
     return Admitted{
         start(In, Item, Request.Class, Request.Holds, TeamIndex, Now), Why};
 
+  if (nanos(Wait) > nanos(Slack) * Settings.WaitPart)
+    return Refusal(RefusalReason::Late);
   if (Team.Heap.size() >= Quota.MaxQueued)
     return Refusal(RefusalReason::OverQuota);
   if (!makeRoom(Of, Request.Class, TeamIndex))
@@ -205,10 +217,23 @@
       static_cast<Duration::rep>(Weight * nanos(AtTarget - Known.Mean)));
   Known.Totals.add(Total);
   if (Known.Samples % SamplesPerUpdate == 0)
-    Known.High = Known.Totals.quantile(Settings.ServiceQuantile);
+    updateQuantiles(Known);
+}
+
+void AdmissionQueue::updateQuantiles(Learned &Known) const {
+  Known.High = Known.Totals.quantile(Settings.ServiceQuantile);
+  Known.IdleHigh = Known.Totals.quantile(Settings.IdleServiceQuantile);
 }
 
 void AdmissionQueue::dropLate(TimePoint Now) {
+  for (Learned &Known : Services) {
+    if (Now - Known.FadedAt < Settings.EstimateHalfLife)
+      continue;
+    Known.FadedAt = Now;
+    Known.Totals.fade();
+    updateQuantiles(Known);
+  }
+
   for (std::size_t Index = 0; Index < WorkClassCount; ++Index) {
     auto Class = static_cast<WorkClass>(Index);
     for (std::size_t Kind = 0; Kind < OccupiesCount; ++Kind) {
@@ -407,6 +432,7 @@
   Account &Team = accountOf(Of, TeamIndex);
   Duration Charge =
       Holds == Occupies::Slot ? learned(Class).Mean : ConnectionCharge;
+  Services[indexOf(Class)].StartedAt = Now;
   ++Team.Running;
   ++Of.Running;
   ++In.Running;
--- a/src/admission/ServiceEstimate.cpp
+++ b/src/admission/ServiceEstimate.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// Weight of one sample in the running mean once the mean is established.
-constexpr double MeanWeight = 1.0 / 256;
 // Buckets start at about one microsecond.
 constexpr double FirstBucketNanos = 1024;
 
@@ -23,18 +21,8 @@
   ++Buckets[std::min(Index, BucketCount - 1)];
   ++Count;
 
-  double Weight = std::max(MeanWeight, 1.0 / Count);
-  MeanNanos += Weight * (Nanos - MeanNanos);
-
   if (Count >= HalvingCount)
-    halve();
-}
-
-Duration ServiceEstimate::mean() const {
-  if (Count < MinSamples)
-    return Initial;
-
-  return Duration(static_cast<Duration::rep>(MeanNanos));
+    fade();
 }
 
 Duration ServiceEstimate::quantile(double Quantile) const {
@@ -57,7 +45,7 @@
   return Duration(static_cast<Duration::rep>(Edge));
 }
 
-void ServiceEstimate::halve() {
+void ServiceEstimate::fade() {
   Count = 0;
   for (std::uint32_t &Bucket : Buckets) {
     Bucket /= 2;
--- a/tests/admission/AdmissionQueueTest.cpp
+++ b/tests/admission/AdmissionQueueTest.cpp
@@ -290,7 +290,9 @@
 // Guards against a slow link that looks like slow service, which made the
 // queue hold back more slots and the router wait and spill wrongly.
 TEST_CASE("time on the network does not count as service") {
-  AdmissionQueue Queue(settings());
+  AdmissionSettings Settings = settings();
+  Settings.SampleInterval = std::chrono::hours(1);
+  AdmissionQueue Queue(Settings);
   Queue.setCapacity(Occupies::Slot, 1);
   TimePoint Now = at(Millis(0));
   for (std::uint64_t Key = 0; Key < 100; ++Key) {
@@ -306,6 +308,41 @@
   REQUIRE(std::get<Refused>(Late).Reason == RefusalReason::Late);
 }
 
+// Guards against a class that is refused for good because its last answers
+// were slow: refused requests bring no new answers.
+TEST_CASE("an estimate that refuses everything is corrected by samples") {
+  AdmissionQueue Queue(settings());
+  Queue.setCapacity(Occupies::Slot, 2);
+  TimePoint Now = at(Millis(0));
+  auto Run = [&](Duration Took) {
+    auto Decision =
+        Queue.offer(work(1, WorkClass::Urgent, "blue", Millis(200)), Now);
+    Now += Millis(1);
+    if (auto *Start = std::get_if<Admitted>(&Decision))
+      Queue.onDone(Start->Start, Took, Took, true);
+    return std::holds_alternative<Admitted>(Decision);
+  };
+  for (int Count = 0; Count < 200; ++Count)
+    Run(Millis(300));
+  REQUIRE_FALSE(Run(Millis(300)));
+
+  // One request in 100 ms is a sample. The slow answers count for less and
+  // less beside the quick ones of the samples.
+  TimePoint Locked = Now;
+  int Admissions = 0;
+  while (Now < Locked + std::chrono::seconds(10)) {
+    Admissions += Run(Millis(10)) ? 1 : 0;
+    Queue.dropLate(Now);
+  }
+  REQUIRE(Admissions <= 101);
+  while (Now < Locked + std::chrono::minutes(2)) {
+    Run(Millis(10));
+    Queue.dropLate(Now);
+  }
+  REQUIRE(Run(Millis(10)));
+  REQUIRE(Run(Millis(10)));
+}
+
 // Guards against running work whose caller has stopped waiting.
 TEST_CASE("queued work that became late is refused and not run") {
   AdmissionQueue Queue(settings());
