--- a/include/daisyspool/admission/AdmissionQueue.h
+++ b/include/daisyspool/admission/AdmissionQueue.h
@@ -46,10 +46,17 @@
       ClassPolicy{0.1, Millis(500), 4096, {}}};
   /// The part of service times that a deadline must leave room for.
   double ServiceQuantile = 0.9999;
+  /// The same while slots are idle, when a refusal saves nothing.
+  double IdleServiceQuantile = 0.99;
+  /// A class whose estimate refuses everything gets one request through at
+  /// this interval. Its estimate could never improve otherwise.
+  Duration SampleInterval = Millis(100);
+  /// Time in which a learned service time loses half of its weight.
+  Duration EstimateHalfLife = std::chrono::seconds(10);
   /// The part of a request's slack that it may be expected to wait. In an
   /// overload a longer queue only delays every answer to its deadline, which
   /// leaves no room for an unusually slow one.
-  double WaitPart = 0.5;
+  double WaitPart = 0.25;
   /// How long demand is remembered.
   Duration DemandWindow = std::chrono::seconds(5);
   /// Teams without an account of their own beyond this share one.
@@ -89,6 +96,8 @@
   Duration Remaining{};
   Duration EstimatedWait{};
   Duration EstimatedService{};
+  /// Admitted in spite of the estimate, to correct it.
+  bool Sample = false;
   std::uint32_t QueuedInTeam = 0;
   std::uint32_t QueuedInClass = 0;
   std::uint32_t Running = 0;
@@ -170,12 +179,15 @@
   /// Returns a request that found no target. Its charge is undone.
   void restore(const Dispatch &Unsent, TimePoint Now);
 
-  /// Ends a request. \p Service is the time from dispatch to the answer; it is
-  /// learned only if the request \p Succeeded, since failures may be quick.
-  void onDone(const Dispatch &Ended, Duration Service, bool Succeeded);
+  /// Ends a request. \p Total is the time from dispatch to the answer, and
+  /// \p AtTarget the part without the network, or \p Total if unknown. Both
+  /// are learned only if the request \p Succeeded, since failures may be quick.
+  void onDone(const Dispatch &Ended, Duration Total, Duration AtTarget,
+              bool Succeeded);
 
-  /// Refuses queued requests whose deadline has become infeasible. Call about
-  /// once a millisecond; collect the refusals with nextRefused.
+  /// Refuses queued requests whose deadline has become infeasible, and lets
+  /// old observations fade. Call about once a millisecond; collect the refusals
+  /// with nextRefused.
   void dropLate(TimePoint Now);
 
   /// A request refused after it was queued; each is returned once.
@@ -187,7 +199,10 @@
   /// Slots kept free for classes more urgent than \p Class.
   std::uint32_t reservedAbove(WorkClass Class) const;
 
-  /// Mean time from dispatch to answer.
+  /// Slots kept for classes more urgent than \p Class, free or held by them.
+  std::uint32_t keptAbove(WorkClass Class) const;
+
+  /// Mean time at the target.
   Duration expectedService(WorkClass Class) const;
 
 private:
@@ -226,10 +241,15 @@
   };
 
   struct Learned {
-    ServiceEstimate Times;
+    /// Times from dispatch to answer.
+    ServiceEstimate Totals;
+    /// Mean time at the target, which the state of the network does not change.
     Duration Mean;
     Duration High;
-    std::uint32_t SinceUpdate = 0;
+    Duration IdleHigh;
+    TimePoint StartedAt{};
+    TimePoint FadedAt{};
+    std::uint64_t Samples = 0;
   };
 
   std::uint32_t teamIndex(const TeamId &Team);
@@ -238,10 +258,12 @@
   Account &accountOf(Lane &In, std::uint32_t TeamIndex);
   const Learned &learned(WorkClass Class) const;
 
+  void updateQuantiles(Learned &Known) const;
   void noteDemand(Lane &In, WorkClass Class, TimePoint Now);
   void decayDemand(Lane &In, TimePoint Now);
   Duration estimateWait(const Pool &In, WorkClass Class, const Account &Team,
                         std::uint32_t TeamIndex, TimePoint Deadline) const;
+  double keptFor(const Pool &In, WorkClass Class) const;
   std::uint32_t reservedAbove(const Pool &In, WorkClass Class) const;
   bool mayStart(const Pool &In, Occupies Holds, WorkClass Class) const;
   AdmissionInputs inputs(const Pool &In, const Work &Request,
--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -14,6 +14,8 @@
 // Longest time whose service a blocked class may claim back at once. A larger
 // claim lets a class that was held back by the reserve shut out the others.
 constexpr Duration MaxCatchUp = Millis(50);
+// Weight of one sample in the running mean once the mean is established.
+constexpr double MeanWeight = 1.0 / 256;
 // Quantiles are read from the histogram once for this many samples.
 constexpr std::uint32_t SamplesPerUpdate = 32;
 // The account that teams beyond MaxTeams share.
@@ -42,6 +44,7 @@
          " remaining=" + millis(Inputs.Remaining) +
          " estimated_wait=" + millis(Inputs.EstimatedWait) +
          " estimated_service=" + millis(Inputs.EstimatedService) +
+         (Inputs.Sample ? " sample=true" : "") +
          " queued_in_team=" + std::to_string(Inputs.QueuedInTeam) +
          " queued_in_class=" + std::to_string(Inputs.QueuedInClass) +
          " running=" + std::to_string(Inputs.Running) +
@@ -94,7 +97,10 @@
   for (const ClassPolicy &Policy : Settings.Classes) {
     assert(Policy.Share > 0);
     Services.push_back({ServiceEstimate(Policy.InitialService),
-                        Policy.InitialService, Policy.InitialService});
+                        Policy.InitialService,
+                        Policy.InitialService,
+                        Policy.InitialService,
+                        {}});
   }
 }
 
@@ -127,17 +133,25 @@
 
   if (In.Capacity == 0)
     return Refusal(RefusalReason::NoCapacity);
-  Duration Slack = Request.Remaining - Why.EstimatedService;
-  if (Slack < Duration::zero() ||
-      nanos(Wait) > nanos(Slack) * Settings.WaitPart)
-    return Refusal(RefusalReason::Late);
 
   const TeamQuota &Quota = Quotas[TeamIndex];
-  if (Of.Queued == 0 && Team.Running < Quota.MaxRunning &&
-      mayStart(In, Request.Holds, Request.Class))
+  bool Idle = Of.Queued == 0 && Team.Running < Quota.MaxRunning &&
+              mayStart(In, Request.Holds, Request.Class);
+  if (Idle && Request.Holds == Occupies::Slot)
+    Why.EstimatedService = learned(Request.Class).IdleHigh;
+  Duration Slack = Request.Remaining - Why.EstimatedService;
+  Why.Sample =
+      Idle && Slack < Duration::zero() &&
+      Request.Remaining > Duration::zero() &&
+      Now - learned(Request.Class).StartedAt >= Settings.SampleInterval;
+  if (Slack < Duration::zero() && !Why.Sample)
+    return Refusal(RefusalReason::Late);
+  if (Idle)
     return Admitted{
         start(In, Item, Request.Class, Request.Holds, TeamIndex, Now), Why};
 
+  if (nanos(Wait) > nanos(Slack) * Settings.WaitPart)
+    return Refusal(RefusalReason::Late);
   if (Team.Heap.size() >= Quota.MaxQueued)
     return Refusal(RefusalReason::OverQuota);
   if (!makeRoom(Of, Request.Class, TeamIndex))
@@ -177,8 +191,8 @@
   push(In, Unsent.Class, Unsent.TeamIndex, Item);
 }
 
-void AdmissionQueue::onDone(const Dispatch &Ended, Duration Service,
-                            bool Succeeded) {
+void AdmissionQueue::onDone(const Dispatch &Ended, Duration Total,
+                            Duration AtTarget, bool Succeeded) {
   Pool &In = poolOf(Ended.Holds);
   Lane &Of = laneOf(In, Ended.Class);
   Account &Team = accountOf(Of, Ended.TeamIndex);
@@ -189,22 +203,37 @@
   if (Ended.Holds == Occupies::ConnectionOnly)
     return;
 
-  double Correction = nanos(Service - Ended.Charged);
+  double Correction = nanos(AtTarget - Ended.Charged);
   Of.Virtual += Correction / Settings.Classes[indexOf(Ended.Class)].Share;
   Team.Virtual += Correction / Quotas[Ended.TeamIndex].Weight;
   if (!Succeeded)
     return;
 
   Learned &Known = Services[indexOf(Ended.Class)];
-  Known.Times.add(Service);
-  if (++Known.SinceUpdate >= SamplesPerUpdate) {
-    Known.SinceUpdate = 0;
-    Known.Mean = Known.Times.mean();
-    Known.High = Known.Times.quantile(Settings.ServiceQuantile);
-  }
+  ++Known.Samples;
+  double Weight =
+      std::max(MeanWeight, 1.0 / static_cast<double>(Known.Samples));
+  Known.Mean += Duration(
+      static_cast<Duration::rep>(Weight * nanos(AtTarget - Known.Mean)));
+  Known.Totals.add(Total);
+  if (Known.Samples % SamplesPerUpdate == 0)
+    updateQuantiles(Known);
+}
+
+void AdmissionQueue::updateQuantiles(Learned &Known) const {
+  Known.High = Known.Totals.quantile(Settings.ServiceQuantile);
+  Known.IdleHigh = Known.Totals.quantile(Settings.IdleServiceQuantile);
 }
 
 void AdmissionQueue::dropLate(TimePoint Now) {
+  for (Learned &Known : Services) {
+    if (Now - Known.FadedAt < Settings.EstimateHalfLife)
+      continue;
+    Known.FadedAt = Now;
+    Known.Totals.fade();
+    updateQuantiles(Known);
+  }
+
   for (std::size_t Index = 0; Index < WorkClassCount; ++Index) {
     auto Class = static_cast<WorkClass>(Index);
     for (std::size_t Kind = 0; Kind < OccupiesCount; ++Kind) {
@@ -252,6 +281,14 @@
   return reservedAbove(Pools[static_cast<std::size_t>(Occupies::Slot)], Class);
 }
 
+std::uint32_t AdmissionQueue::keptAbove(WorkClass Class) const {
+  const Pool &Slots = Pools[static_cast<std::size_t>(Occupies::Slot)];
+  double Sum = 0;
+  for (std::size_t Index = 0; Index < indexOf(Class); ++Index)
+    Sum += keptFor(Slots, static_cast<WorkClass>(Index));
+  return static_cast<std::uint32_t>(Sum);
+}
+
 Duration AdmissionQueue::expectedService(WorkClass Class) const {
   return learned(Class).Mean;
 }
@@ -347,19 +384,22 @@
                                             WorkClass Class) const {
   double Sum = 0;
   for (std::size_t Index = 0; Index < indexOf(Class); ++Index) {
-    const ClassPolicy &Policy = Settings.Classes[Index];
-    if (!Policy.ReserveDeviations)
-      continue;
-    const Lane &Of = In.Lanes[Index];
-    double Wanted =
-        Of.Demand + *Policy.ReserveDeviations * std::sqrt(Of.Demand);
-    double Guaranteed = Policy.Share * In.Capacity;
-    double Kept = std::ceil(std::min(Wanted, Guaranteed));
-    Sum += std::max(Kept - Of.Running, 0.0);
+    double Kept = keptFor(In, static_cast<WorkClass>(Index));
+    Sum += std::max(Kept - In.Lanes[Index].Running, 0.0);
   }
   return static_cast<std::uint32_t>(Sum);
 }
 
+double AdmissionQueue::keptFor(const Pool &In, WorkClass Class) const {
+  const ClassPolicy &Policy = Settings.Classes[indexOf(Class)];
+  if (!Policy.ReserveDeviations)
+    return 0;
+
+  double Demand = In.Lanes[indexOf(Class)].Demand;
+  double Wanted = Demand + *Policy.ReserveDeviations * std::sqrt(Demand);
+  return std::ceil(std::min(Wanted, Policy.Share * In.Capacity));
+}
+
 bool AdmissionQueue::mayStart(const Pool &In, Occupies Holds,
                               WorkClass Class) const {
   if (In.Running >= In.Capacity)
@@ -392,6 +432,7 @@
   Account &Team = accountOf(Of, TeamIndex);
   Duration Charge =
       Holds == Occupies::Slot ? learned(Class).Mean : ConnectionCharge;
+  Services[indexOf(Class)].StartedAt = Now;
   ++Team.Running;
   ++Of.Running;
   ++In.Running;
