Tell tasks apart that reuse a handle in the colocation history

A trace showed suspects of a noisy kind whose handle already belonged to another task: the history merged both into one neighbour.

Change: a stay continues an earlier one only if that one was still open.

--- a/bench/TaskFleet.h
+++ b/bench/TaskFleet.h
@@ -275,7 +275,7 @@
         continue;
       ++MemoryKills;
       take(Largest, false);
-      Killed.push_back(Largest);
+      Killed.emplace_back(Largest, VmIndex(Vm));
     }
   }
 
@@ -295,7 +295,7 @@
 
 public:
   /// Tasks that were killed for memory and wait again; the caller empties it.
-  std::vector<std::size_t> Killed;
+  std::vector<std::pair<std::size_t, VmIndex>> Killed;
 
 private:
   std::vector<std::size_t> Active;
--- a/include/daisyspool/interference/ColocationHistory.h
+++ b/include/daisyspool/interference/ColocationHistory.h
@@ -52,8 +52,12 @@
     std::uint32_t To = Running;
     KindIndex Kind;
     std::uint8_t Share = 255;
+    /// Follows a stay of the same task; handles are used again by later tasks.
+    bool Continues = false;
   };
 
+  bool close(VmIndex Vm, TaskIndex Task, TimePoint Now);
+
   void prune(std::vector<Stay> &Stays, std::uint32_t Now) const;
 
   Millis Retention;
--- a/tests/interference/InterferenceTest.cpp
+++ b/tests/interference/InterferenceTest.cpp
@@ -91,6 +91,24 @@
   REQUIRE(Then[1].Presence == 0);
 }
 
+// Guards against blaming a task for what an earlier owner of its handle did,
+// which moved quiet tasks in the benchmark.
+TEST_CASE("a handle that is used again is another neighbour") {
+  ColocationHistory History(Millis(60000));
+  History.enter(Vm, TaskIndex(2), Noisy, at(0));
+  History.enter(Vm, TaskIndex(2), Noisy, at(2), 0.25);
+  History.leave(Vm, TaskIndex(2), at(4));
+  History.enter(Vm, TaskIndex(2), Quiet, at(6));
+
+  auto Seen = History.during(Vm, at(0), at(8));
+  REQUIRE(Seen.size() == 2);
+  REQUIRE(Seen[0].Kind == Noisy);
+  REQUIRE(Seen[0].Presence == Approx(0.3125).margin(0.01));
+  REQUIRE_FALSE(Seen[0].Current);
+  REQUIRE(Seen[1].Kind == Quiet);
+  REQUIRE(Seen[1].Presence == Approx(0.25).margin(0.01));
+}
+
 // Guards against evicting without a test of the suspicion, and against steps
 // out of order.
 TEST_CASE("noise is answered by throttle, move and stop, in this order") {
