Find failing workers while their tasks still run elsewhere

A trace showed that a worker failed for 90 s before its first quarantine, because its tasks had to succeed elsewhere first and its eight notes were overwritten meanwhile.

Change: a task that outlives its failures on another worker is evidence, and a worker keeps notes of proven failures only, one fewer after each success.

--- a/bench/SimScheduler.h
+++ b/bench/SimScheduler.h
@@ -197,14 +197,7 @@
     auto Found =
         Evidence.record({TaskIndex(End.Id), Of.Job, End.Worker, End.How}, Now);
     Of.Avoid = Found.Avoid;
-    for (const auto &Each : Found.Quarantined) {
-      Fleet.View.setOpen(Each.Worker, false);
-      bool Flaky = std::find(Fleet.Flaky.begin(), Fleet.Flaky.end(),
-                             Each.Worker) != Fleet.Flaky.end();
-      if (!Flaky)
-        ++GoodQuarantined;
-    }
-    MostQuarantined = std::max(MostQuarantined, Evidence.quarantinedCount());
+    close(Found);
     if (End.How == Outcome::Succeeded)
       return;
     if (!Found.End) {
@@ -217,6 +210,18 @@
       ++GoodTasksEnded;
   }
 
+  /// Closes the workers that \p Found puts into quarantine.
+  void close(const evidence::Finding &Found) {
+    for (const auto &Each : Found.Quarantined) {
+      Fleet.View.setOpen(Each.Worker, false);
+      bool Flaky = std::find(Fleet.Flaky.begin(), Fleet.Flaky.end(),
+                             Each.Worker) != Fleet.Flaky.end();
+      if (!Flaky)
+        ++GoodQuarantined;
+    }
+    MostQuarantined = std::max(MostQuarantined, Evidence.quarantinedCount());
+  }
+
   void releaseQuarantines(TimePoint Now) {
     if (!How.Evidence)
       return;
@@ -326,6 +331,10 @@
       const FakeTask &Of = Fleet.Tasks[Id];
       if (Of.At != FakeTask::Phase::Running)
         continue;
+      if (How.Evidence && !Of.Avoid.empty() &&
+          Now - Of.RunsFrom >= std::chrono::seconds(5))
+        close(Evidence.outlived(TaskIndex(Id), Fleet.View.task(Of.Index).Vm,
+                                Now));
       Usage.observe(Of.Spec.Kind, Of.Spec.Declared, Fleet.used(Id));
       if (!Of.Throttled)
         adjust(Id, Now);
--- a/include/daisyspool/evidence/EvidenceTable.h
+++ b/include/daisyspool/evidence/EvidenceTable.h
@@ -104,6 +104,11 @@
   /// Records the end of an attempt and says what follows from it.
   Finding record(const AttemptEnd &Ended, TimePoint Now);
 
+  /// Notes that a task that failed before runs on \p Worker for longer than
+  /// its failures took, which shows much earlier than its success that the
+  /// other workers were at fault. May be repeated.
+  Finding outlived(TaskIndex Task, VmIndex Worker, TimePoint Now);
+
   /// Failures of the job's tasks from now on are the effect of cancelling.
   void cancelJob(JobIndex Job);
 
@@ -120,11 +125,10 @@
 
 private:
   static constexpr std::size_t Remembered = 8;
+  /// A failure of a task that, or whose sibling, does well on another worker.
   struct FailureNote {
     TaskIndex Task;
     JobIndex Job;
-    /// The task or a sibling succeeded on another worker.
-    bool Elsewhere = false;
   };
   struct WorkerNotes {
     std::array<FailureNote, Remembered> Failures{};
@@ -149,7 +153,6 @@
     bool SucceededOnSeveral = false;
     std::uint32_t Unrunnable = 0;
     bool Cancelled = false;
-    std::vector<VmIndex> FailedOn;
 
     bool succeededBeside(VmIndex Worker) const {
       return SucceededOnSeveral ||
@@ -162,6 +165,9 @@
   void onSuccess(const AttemptEnd &Ended, TimePoint Now, Finding &Found);
   void onFailure(const AttemptEnd &Ended, TimePoint Now, Finding &Found);
   std::optional<TaskEnd> endOf(const TaskNotes &Of, JobNotes &Job);
+  void blame(const TaskNotes &Of, TaskIndex Task, VmIndex DoesWellOn,
+             TimePoint Now, Finding &Found);
+  void addNote(VmIndex Of, TaskIndex Task, JobIndex Job);
   void judgeWorker(VmIndex Of, TimePoint Now, Finding &Found);
 
   Options Config;
--- a/src/evidence/EvidenceTable.cpp
+++ b/src/evidence/EvidenceTable.cpp
@@ -47,23 +47,52 @@
   if (Job.SucceededOn.valid() && Job.SucceededOn != Ended.Worker)
     Job.SucceededOnSeveral = true;
   Job.SucceededOn = Ended.Worker;
-  Tasks.erase(Ended.Task);
-
-  // The success shows that earlier failures of the job were not its own.
-  std::vector<VmIndex> Suspects;
-  Suspects.swap(Job.FailedOn);
-  for (VmIndex Each : Suspects) {
-    if (Each == Ended.Worker) {
-      insert(Job.FailedOn, Each);
-      continue;
+  // A worker that also succeeds loses old evidence against it.
+  for (FailureNote &Each : worker(Ended.Worker).Failures)
+    if (Each.Task.valid()) {
+      Each = {};
+      break;
     }
-    for (FailureNote &Failure : worker(Each).Failures)
-      if (Failure.Task.valid() && Failure.Job == Ended.Job)
-        Failure.Elsewhere = true;
+
+  auto Known = Tasks.find(Ended.Task);
+  if (Known == Tasks.end())
+    return;
+  blame(Known->second, Ended.Task, Ended.Worker, Now, Found);
+  Tasks.erase(Known);
+}
+
+Finding EvidenceTable::outlived(TaskIndex Task, VmIndex Worker, TimePoint Now) {
+  Finding Found;
+  auto Known = Tasks.find(Task);
+  if (Known != Tasks.end())
+    blame(Known->second, Task, Worker, Now, Found);
+
+  return Found;
+}
+
+/// Notes a task's failures against the workers where they happened.
+void EvidenceTable::blame(const TaskNotes &Of, TaskIndex Task,
+                          VmIndex DoesWellOn, TimePoint Now, Finding &Found) {
+  for (VmIndex Each : Of.FailedOn) {
+    if (Each == DoesWellOn)
+      continue;
+    addNote(Each, Task, Of.Job);
     judgeWorker(Each, Now, Found);
   }
 }
 
+void EvidenceTable::addNote(VmIndex Of, TaskIndex Task, JobIndex Job) {
+  WorkerNotes &At = worker(Of);
+  bool Known =
+      std::any_of(At.Failures.begin(), At.Failures.end(),
+                  [&](const FailureNote &Each) { return Each.Task == Task; });
+  if (Known)
+    return;
+
+  At.Failures[At.Next] = {Task, Job};
+  At.Next = static_cast<std::uint8_t>((At.Next + 1) % Remembered);
+}
+
 void EvidenceTable::onFailure(const AttemptEnd &Ended, TimePoint Now,
                               Finding &Found) {
   JobNotes &Job = Jobs[Ended.Job];
@@ -74,18 +103,9 @@
   } else {
     ++Task.Failures;
     insert(Task.FailedOn, Ended.Worker);
-    WorkerNotes &At = worker(Ended.Worker);
-    auto Known = std::find_if(
-        At.Failures.begin(), At.Failures.end(),
-        [&](const FailureNote &Each) { return Each.Task == Ended.Task; });
-    if (Known == At.Failures.end()) {
-      At.Failures[At.Next] = {Ended.Task, Ended.Job,
-                              Job.succeededBeside(Ended.Worker)};
-      At.Next = static_cast<std::uint8_t>((At.Next + 1) % Remembered);
-    }
-    noteAttempt(At, true);
-    if (!Job.succeededBeside(Ended.Worker))
-      insert(Job.FailedOn, Ended.Worker);
+    noteAttempt(worker(Ended.Worker), true);
+    if (Job.succeededBeside(Ended.Worker))
+      addNote(Ended.Worker, Ended.Task, Ended.Job);
     judgeWorker(Ended.Worker, Now, Found);
   }
 
@@ -125,7 +145,7 @@
   std::uint32_t DistinctTasks = 0;
   std::set<JobIndex> DistinctJobs;
   for (const FailureNote &Each : At.Failures) {
-    if (!Each.Task.valid() || !Each.Elsewhere)
+    if (!Each.Task.valid())
       continue;
     ++DistinctTasks;
     DistinctJobs.insert(Each.Job);
--- a/tests/evidence/EvidenceTableTest.cpp
+++ b/tests/evidence/EvidenceTableTest.cpp
@@ -68,6 +68,20 @@
   REQUIRE(Table.release(TimePoint(Millis(300000))) == std::vector{VmIndex(7)});
 }
 
+// Guards against a failing worker that takes hundreds of tasks before the first
+// of them has had the time to succeed elsewhere.
+TEST_CASE("a failing worker is found while its tasks run elsewhere") {
+  auto Table = provenWorkers();
+  std::size_t Found = 0;
+  for (std::size_t I = 0; I < 3; ++I)
+    Table.record(end(10 + I, 1 + I % 2, 7, Outcome::Failed), {});
+  for (std::size_t I = 0; I < 3; ++I)
+    Found +=
+        Table.outlived(TaskIndex(10 + I), VmIndex(I), {}).Quarantined.size();
+  REQUIRE(Found == 1);
+  REQUIRE(Table.quarantined(VmIndex(7)));
+}
+
 // Guards against quarantine of good workers because a few tasks are flaky.
 TEST_CASE("a worker that mostly succeeds is not quarantined") {
   auto Table = provenWorkers();
