Exercise lending and pinned tasks in the stateful tests

Change: the placement test lends processors of running tasks, and the quota test borrows with mostly pinned tasks before every owner claims its share.

--- a/tests/placement/PlacerTest.cpp
+++ b/tests/placement/PlacerTest.cpp
@@ -215,6 +215,14 @@
       } else if (Action == 5 && !Running.empty()) {
         Drop(Running[static_cast<std::size_t>(
             *rc::gen::inRange<int>(0, static_cast<int>(Running.size())))]);
+      } else if (Action == 7 && !Running.empty()) {
+        // Lends processors, so that Held no longer covers what is declared.
+        TaskIndex Lender = Running[static_cast<std::size_t>(
+            *rc::gen::inRange<int>(0, static_cast<int>(Running.size())))];
+        Resources Kept = S.Fleet.task(Lender).Held.unpacked();
+        Kept.Cpu = MilliCores(Kept.Cpu.value() / 4);
+        Kept.Memory = MebiBytes(Kept.Memory.value() / 4);
+        S.Fleet.resize(Lender, Kept);
       } else if (Action == 6) {
         VmIndex Vm(static_cast<std::size_t>(*rc::gen::inRange(0, 4)));
         S.Fleet.setOpen(Vm, !S.Fleet.vm(Vm).Open);
--- a/tests/quota/QuotaLedgerTest.cpp
+++ b/tests/quota/QuotaLedgerTest.cpp
@@ -84,15 +84,17 @@
       return true;
     };
 
-    int Steps = *rc::gen::inRange(0, 60);
+    // Two teams borrow what the others leave idle; most of their tasks may not
+    // be evicted any more.
+    int Steps = *rc::gen::inRange(0, 100);
     for (int I = 0; I < Steps; ++I) {
-      TeamIndex Team(static_cast<std::size_t>(*rc::gen::inRange(0, 4)));
-      Offer(Team,
-            static_cast<std::uint8_t>(*rc::gen::inRange(0, MaxEvictions + 1)));
+      TeamIndex Team(static_cast<std::size_t>(*rc::gen::inRange(0, 2)));
+      bool Pinned = *rc::gen::inRange(0, 4) > 0;
+      Offer(Team, Pinned ? MaxEvictions : std::uint8_t{0});
     }
-    TeamIndex Owner(static_cast<std::size_t>(*rc::gen::inRange(0, 4)));
-    while (Ledger.usedShare(Owner) < 0.25 - 1e-9)
-      RC_ASSERT(Offer(Owner, 0));
+    for (std::size_t Owner = 0; Owner < Teams; ++Owner)
+      while (Ledger.usedShare(TeamIndex(Owner)) < 0.25 - 1e-9)
+        RC_ASSERT(Offer(TeamIndex(Owner), 0));
   });
   REQUIRE(Held);
 }
