--- a/include/daisyspool/membership/SwimProtocol.h
+++ b/include/daisyspool/membership/SwimProtocol.h
@@ -20,6 +20,12 @@
   std::string Bytes;
 };
 
+/// An entry as listed in the table service.
+struct ListedEntry {
+  ProcessId Id;
+  MemberAddress Address;
+};
+
 /// Configuration stamp heard from a peer.
 struct PeerStamp {
   ProcessId Peer;
@@ -76,9 +82,13 @@
     Millis DeadProbePeriod{10000};
     /// A dead member is remembered well beyond an hour's cut.
     Millis ForgetAfter{6 * 3600 * 1000};
+    /// Long-run limit on all that is sent. Membership may burst by one second
+    /// of it, payloads by 16 seconds that were not used.
     std::size_t BytesPerSecond = 4096;
     /// Entries that hear of a leave or drain directly.
     std::size_t NoticeTargets = 32;
+    /// Listed entries greeted at once, since rows of dead entries stay a while.
+    std::size_t GreetListed = 2;
     unsigned NoticeRepeats = 3;
   };
 
@@ -101,6 +111,16 @@
   /// repeats it while no other member is known.
   std::vector<Outgoing> greet(std::vector<MemberAddress> Seeds, TimePoint Now);
 
+  /// Entries only: compares tables with listed entries that are not reachable
+  /// here. This joins two parts of a membership that have no memory of each
+  /// other because all processes of one were replaced during a cut.
+  std::vector<Outgoing> greetListed(const std::vector<ListedEntry> &Listed,
+                                    TimePoint Now);
+
+  /// Whether an entry is reachable. An agent that sees none announces itself
+  /// again through the balancer and calls learn() with the answer.
+  bool seesEntry() const { return Table.entryCount() != 0; }
+
   /// Up to \p Count reachable members, this one included, for a newcomer.
   std::vector<MemberUpdate> sampleForNewcomer(std::size_t Count);
 
@@ -237,7 +257,9 @@
   std::vector<ProcessId> MissingInfo;
   std::vector<MemberAddress> Seeds;
 
+  /// Bytes that membership may send now, and what everything together may.
   double Tokens = 0;
+  double Saved = 0;
   TimePoint LastRefill;
   TimePoint LastTick;
   TimePoint NextProbe;
--- a/src/membership/SwimProtocol.cpp
+++ b/src/membership/SwimProtocol.cpp
@@ -9,8 +9,12 @@
 
 namespace {
 
-/// Datagrams that may go out in one burst, in seconds of the rate limit.
+/// Bytes that membership may send in one burst, in seconds of the rate limit.
 constexpr double BurstSeconds = 1.0;
+/// The same for payloads, which may use what an ordinary minute left over: a
+/// change of the configuration goes to 4 members at once or spreads too late.
+constexpr double PayloadBurstSeconds = 16.0;
+constexpr double PayloadReserve = 8192;
 /// Tokens kept for probes and their answers when updates or tables are sent.
 constexpr double UpdateReserve = 400;
 constexpr double SyncReserve = 1600;
@@ -35,7 +39,7 @@
                            MemberInfo Info, std::uint64_t Seed, TimePoint Now)
     : Config(Config), Self(std::move(Id)), Number(First), Info(std::move(Info)),
       Rng(Seed), Tokens(static_cast<double>(Config.BytesPerSecond)),
-      LastRefill(Now), LastTick(Now) {
+      Saved(Tokens * PayloadBurstSeconds), LastRefill(Now), LastTick(Now) {
   assert(!Self.empty() && !this->Info.Address.Host.empty());
   Table.apply({Self, MemberState::Alive, Number, Number, this->Info}, Now);
   enqueue(Self, true);
@@ -184,6 +188,7 @@
   const double Elapsed =
       std::chrono::duration<double>(Now - LastRefill).count();
   Tokens = std::min(Rate * BurstSeconds, Tokens + Rate * Elapsed);
+  Saved = std::min(Rate * PayloadBurstSeconds, Saved + Rate * Elapsed);
   LastRefill = std::max(LastRefill, Now);
 }
 
@@ -191,12 +196,17 @@
                         const Datagram &Message) {
   std::string Bytes = encode(Message);
   assert(Bytes.size() <= MaxDatagramBytes);
-  if (Tokens < static_cast<double>(Bytes.size())) {
+  const auto Cost = static_cast<double>(Bytes.size());
+  const bool IsPayload = std::holds_alternative<Payload>(Message.Body);
+  if (IsPayload ? Saved < Cost + PayloadReserve
+                : std::min(Tokens, Saved) < Cost) {
     ++Counts.Limited;
     return;
   }
 
-  Tokens -= static_cast<double>(Bytes.size());
+  Saved -= Cost;
+  if (!IsPayload)
+    Tokens -= Cost;
   ++Counts.Sent;
   Counts.SentBytes += Bytes.size();
   Out.push_back({To, std::move(Bytes)});
@@ -534,6 +544,27 @@
   return Out;
 }
 
+std::vector<Outgoing>
+SwimProtocol::greetListed(const std::vector<ListedEntry> &Listed,
+                          TimePoint Now) {
+  std::vector<ListedEntry> Unreached;
+  for (const ListedEntry &Each : Listed) {
+    const Member *Known = Table.find(Each.Id);
+    if (Each.Id != Self && (!Known || !Known->reachable()))
+      Unreached.push_back(Each);
+  }
+
+  std::vector<Outgoing> Out;
+  for (std::size_t Left = Unreached.size();
+       Left > 0 && Unreached.size() - Left < Config.GreetListed; --Left) {
+    std::swap(Unreached[Left - 1], Unreached[Rng.below(Left)]);
+    const ListedEntry &Chosen = Unreached[Left - 1];
+    send(Out, Chosen.Address, Table.find(Chosen.Id), SyncDigest{Table.digest()},
+         Now);
+  }
+  return Out;
+}
+
 // ---- receiving ----
 
 /// Answers each kind of message.
--- /dev/null
+++ b/tests/config/ConfigSimulation.h
@@ -0,0 +1,156 @@
+#ifndef DAISYSPOOL_TESTS_CONFIG_CONFIGSIMULATION_H
+#define DAISYSPOOL_TESTS_CONFIG_CONFIGSIMULATION_H
+
+#include "config/MemoryRows.h"
+#include "daisyspool/config/ConfigSpread.h"
+#include "daisyspool/config/ConfigStore.h"
+#include "membership/GossipSimulation.h"
+
+#include <memory>
+#include <vector>
+
+namespace daisyspool {
+
+/// A simulated fleet whose processes spread the configuration over gossip. The
+/// first members are entries, which read the store's head every two seconds and
+/// the list of entries every five. An agent that sees no entry announces itself
+/// to one that it can reach.
+class ConfigSimulation {
+public:
+  static constexpr Millis StorePeriod{2000};
+  static constexpr Millis ListPeriod{5000};
+
+  MemoryRows Rows;
+  ConfigStore Store{Rows};
+  GossipSimulation Gossip;
+  std::size_t Entries;
+
+  ConfigSimulation(std::uint64_t Seed, std::size_t Members, std::size_t Entries,
+                   std::uint64_t Domains)
+      : Gossip(Seed, Domains), Entries(Entries) {
+    Gossip.AfterStep = [this](std::size_t Index) { step(Index); };
+    for (std::size_t Index = 0; Index < Members; ++Index)
+      Gossip.add(Index < Entries ? MemberRole::Entry : MemberRole::Agent);
+    Spreads.resize(Members);
+    for (std::size_t Index = 0; Index < Members; ++Index)
+      spread(Index);
+  }
+
+  /// The spread of the process that now runs as \p Index.
+  ConfigSpread &spread(std::size_t Index) {
+    Slot &Held = Spreads[Index];
+    const auto &Node = Gossip.Nodes[Index];
+    if (!Held.Machine || Held.Life != Node.Life) {
+      Held.Life = Node.Life;
+      Held.NextRead = Gossip.now();
+      Held.NextList = Gossip.now() + ListPeriod;
+      Held.Machine = std::make_unique<ConfigSpread>(
+          ConfigSpread::Options{}, [&Node](std::size_t Count) {
+            return Node.Machine->randomPeers(Count);
+          });
+    }
+    return *Held.Machine;
+  }
+
+  /// Proposes \p Next through entry \p Index and pushes it if it is accepted.
+  AcceptedChange propose(std::size_t Index, const ConfigEntries &Next,
+                         const ChangeOrigin &Origin) {
+    const AcceptedChange Result =
+        Store.propose(spread(Index).document(), Next, Origin);
+    readStore(Index);
+    return Result;
+  }
+
+  /// Running members that have \p Version in force.
+  std::size_t inForce(ConfigVersion Version) {
+    std::size_t Count = 0;
+    for (std::size_t Index = 0; Index < Spreads.size(); ++Index)
+      if (Gossip.Nodes[Index].Running &&
+          spread(Index).document().version() == Version)
+        ++Count;
+    return Count;
+  }
+
+private:
+  struct Slot {
+    std::unique_ptr<ConfigSpread> Machine;
+    std::uint64_t Life = 0;
+    TimePoint NextRead;
+    TimePoint NextList;
+  };
+
+  void findOthers(std::size_t Index) {
+    SwimProtocol &Machine = *Gossip.Nodes[Index].Machine;
+    std::vector<ListedEntry> Listed;
+    for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
+      const auto &Node = Gossip.Nodes[Entry];
+      if (!Node.Running)
+        continue;
+      Listed.push_back(
+          {Node.Machine->self(), GossipSimulation::addressOf(Entry)});
+      const bool Cut =
+          Gossip.Cut && Gossip.Cut(Gossip.Nodes[Index].Domain, Node.Domain);
+      if (Index >= Entries && !Machine.seesEntry() && !Cut)
+        Machine.learn(Node.Machine->sampleForNewcomer(8), Gossip.now());
+    }
+    if (Index < Entries && !Rows.Down)
+      Gossip.transmit(Index, Machine.greetListed(Listed, Gossip.now()));
+  }
+
+  void readStore(std::size_t Index) {
+    ConfigSpread &Spread = spread(Index);
+    try {
+      const ConfigVersion Head = Store.head().Version;
+      if (Spread.storeHad(Head, Gossip.now())) {
+        for (const ConfigChange &Change :
+             Store.changesAfter(Spread.document().version(), 100))
+          transmit(Index, Spread.accepted(Change));
+        Spread.storeHad(Head, Gossip.now());
+      }
+    } catch (const PlatformUnavailable &) {
+      return;
+    }
+    stamp(Index);
+  }
+
+  void stamp(std::size_t Index) {
+    Gossip.Nodes[Index].Machine->stampConfig(spread(Index).document().version(),
+                                             spread(Index).confirmedAt());
+  }
+
+  void step(std::size_t Index) {
+    ConfigSpread &Spread = spread(Index);
+    SwimProtocol &Machine = *Gossip.Nodes[Index].Machine;
+    for (const PeerPayload &Each : Machine.takePayloads())
+      transmit(Index, Spread.receive(Each.Peer, Each.Bytes, Gossip.now()));
+    for (const PeerStamp &Each : Machine.takeStamps())
+      transmit(Index, Spread.heard(Each.Peer, Each.Stamp.Version,
+                                   Each.Stamp.Age, Gossip.now()));
+    stamp(Index);
+
+    Slot &Held = Spreads[Index];
+    if (Gossip.now() >= Held.NextList) {
+      Held.NextList = Gossip.now() + ListPeriod;
+      findOthers(Index);
+    }
+    if (Index < Entries && Gossip.now() >= Held.NextRead) {
+      Held.NextRead = Gossip.now() + StorePeriod;
+      readStore(Index);
+    }
+  }
+
+  void transmit(std::size_t Index,
+                const std::vector<ConfigOutgoing> &Messages) {
+    stamp(Index);
+    SwimProtocol &Machine = *Gossip.Nodes[Index].Machine;
+    for (const ConfigOutgoing &Each : Messages)
+      if (auto Wrapped = Machine.payload(Each.To, Each.Bytes, Gossip.now()))
+        Gossip.transmit(Index, {std::move(*Wrapped)});
+  }
+
+  std::vector<Slot> Spreads;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_TESTS_CONFIG_CONFIGSIMULATION_H
--- /dev/null
+++ b/tests/config/ConfigSpreadTest.cpp
@@ -0,0 +1,142 @@
+#include "config/ConfigSimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+
+namespace {
+
+/// The stated bound on the time until a change is in force everywhere.
+constexpr Millis InForceBound{7000};
+
+ChangeOrigin origin(const std::string &Id) {
+  return {ChangeId(Id), OperatorId("ada"), 1};
+}
+
+std::vector<ProcessId> noPeers(std::size_t) { return {}; }
+
+} // namespace
+
+// Guards against a change that some process does not have within the bound,
+// on a lossy network.
+TEST_CASE("an accepted change is in force everywhere within seven seconds") {
+  ConfigSimulation Sim(11, 100, 3, 4);
+  Sim.Gossip.Link.Loss = 0.1;
+  Sim.Gossip.Link.Duplicate = 0.1;
+  Sim.Gossip.introduceAll();
+  Sim.Gossip.run(Millis(5000));
+
+  for (std::uint64_t Round = 1; Round <= 20; ++Round) {
+    Sim.propose(Round % 3,
+                {{"team/a", "weight=" + std::to_string(Round) + "\n"},
+                 {"team/b", std::string(2500, 'b')}},
+                origin(std::to_string(Round)));
+    REQUIRE(Sim.Gossip.runUntil(
+        [&] { return Sim.inForce(ConfigVersion(Round)) == 100; },
+        InForceBound));
+  }
+}
+
+// Guards against a process that claims a confirmed configuration while no
+// entry reads the store, and against false claims while the store is up.
+TEST_CASE("a process is unconfirmed seven seconds after the store is lost") {
+  ConfigSimulation Sim(12, 60, 3, 3);
+  Sim.Gossip.introduceAll();
+  Sim.Gossip.run(Millis(20000));
+  const auto Unconfirmed = [&] {
+    std::size_t Count = 0;
+    for (std::size_t Index = 0; Index < 60; ++Index)
+      Count += !Sim.spread(Index).confirmed(Sim.Gossip.now());
+    return Count;
+  };
+  for (int Second = 0; Second < 60; ++Second) {
+    Sim.Gossip.run(Millis(1000));
+    REQUIRE(Unconfirmed() == 0);
+  }
+
+  Sim.Rows.Down = true;
+  Sim.Gossip.run(Millis(7001));
+  REQUIRE(Unconfirmed() == 60);
+  Sim.Rows.Down = false;
+  Sim.Gossip.run(Millis(7000));
+  REQUIRE(Unconfirmed() == 0);
+}
+
+// Guards against stale, repeated and reordered changes that revert or damage
+// the configuration.
+TEST_CASE("only the next higher version is adopted") {
+  ConfigSpread Sender({}, [](std::size_t) {
+    return std::vector<ProcessId>{ProcessId("receiver")};
+  });
+  ConfigSpread Receiver({}, noPeers);
+  std::vector<std::string> Sent;
+  for (int Round = 1; Round <= 4; ++Round) {
+    const auto Change = Sender.document().changeTo(
+        {{"team/a", std::to_string(Round)}}, ChangeId(std::to_string(Round)),
+        OperatorId("ada"));
+    for (const ConfigOutgoing &Each : Sender.accepted(Change))
+      Sent.push_back(Each.Bytes);
+  }
+  REQUIRE(Sent.size() == 4);
+
+  for (const std::size_t Index : {1U, 0U, 0U, 3U, 1U, 2U, 0U}) {
+    const ConfigVersion Before = Receiver.document().version();
+    Receiver.receive(ProcessId("sender"), Sent[Index], TimePoint());
+    REQUIRE(Receiver.document().version() >= Before);
+  }
+  REQUIRE(Receiver.document().hash() == Sender.document().hash());
+  REQUIRE(Receiver.document().version() == ConfigVersion(4));
+  REQUIRE_FALSE(
+      Receiver.adopt(ConfigDocument(ConfigVersion(3), {{"team/a", "3"}})));
+}
+
+// Guards against a process that waits for ever for changes that its peers no
+// longer hold.
+TEST_CASE("a process too far behind asks for the whole document") {
+  ConfigSpread::Options Config;
+  Config.History = 2;
+  ConfigSpread Ahead(Config, noPeers);
+  ConfigSpread Behind({}, noPeers);
+  for (int Round = 1; Round <= 4; ++Round)
+    Ahead.accepted(Ahead.document().changeTo(
+        {{"team/a", std::to_string(Round)}}, ChangeId(std::to_string(Round)),
+        OperatorId("ada")));
+
+  const auto Ask = Behind.heard(ProcessId("ahead"), Ahead.document().version(),
+                                std::nullopt, TimePoint());
+  REQUIRE(Ask.size() == 1);
+  const auto Answer =
+      Ahead.receive(ProcessId("behind"), Ask.front().Bytes, TimePoint());
+  REQUIRE(Answer.size() == 1);
+  Behind.receive(ProcessId("ahead"), Answer.front().Bytes, TimePoint());
+  REQUIRE(Behind.needsDocument());
+  REQUIRE(Behind.adopt(Ahead.document()));
+  REQUIRE_FALSE(Behind.needsDocument());
+}
+
+// Guards against malformed messages that escape the typed error.
+TEST_CASE("bad configuration messages are typed errors and are counted") {
+  ConfigSpread Sender({}, [](std::size_t) {
+    return std::vector<ProcessId>{ProcessId("receiver")};
+  });
+  const auto Good = Sender
+                        .accepted(Sender.document().changeTo(
+                            {{"team/a", "1"}}, ChangeId("1"), OperatorId("o")))
+                        .front()
+                        .Bytes;
+  Random Rng(13);
+  ConfigSpread Receiver({}, noPeers);
+  std::uint64_t Refused = 0;
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Bytes = Good;
+    Bytes[Rng.below(Bytes.size())] = static_cast<char>(Rng.below(256));
+    Bytes.resize(Rng.below(Bytes.size()) + 1);
+    try {
+      Receiver.receive(ProcessId("sender"), Bytes, TimePoint());
+    } catch (const ProtocolError &) {
+      ++Refused;
+    }
+  }
+  REQUIRE(Refused > 0);
+  REQUIRE(Receiver.counters().Malformed == Refused);
+}
--- /dev/null
+++ b/tests/membership/UdpDriverTest.cpp
@@ -0,0 +1,47 @@
+#include "daisyspool/membership/UdpDriver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+
+namespace {
+
+MemberInfo infoAt(const MemberAddress &Address) {
+  MemberInfo Info;
+  Info.Address = Address;
+  Info.FailureDomain = FailureDomainId("regina");
+  return Info;
+}
+
+} // namespace
+
+// Guards against a driver that loses datagrams, or that one bad datagram stops.
+TEST_CASE("two drivers on loopback learn of each other") {
+  boost::asio::io_context Io;
+  const SystemClock Time;
+  UdpDriver First(Io, Time, {"127.0.0.1", 0});
+  UdpDriver Second(Io, Time, {"127.0.0.1", 0});
+  SwimProtocol One({}, ProcessId("one"), Incarnation(1),
+                   infoAt(First.address()), 1, Time.now());
+  SwimProtocol Two({}, ProcessId("two"), Incarnation(1),
+                   infoAt(Second.address()), 2, Time.now());
+  int Reported = 0;
+  First.start(One, [&](const MemberAddress &, const Error &) { ++Reported; });
+  Second.start(Two);
+
+  Second.send({{First.address(), "not a datagram"},
+               {First.address(), std::string("\x92\x02\x00", 3)}});
+  Second.send(Two.greet({First.address()}, Time.now()));
+  const auto Learnt = [&] {
+    return One.table().find(Two.self()) && Two.table().find(One.self());
+  };
+  for (int Step = 0; Step < 1000 && !Learnt(); ++Step)
+    Io.run_one_for(Millis(10));
+
+  REQUIRE(Learnt());
+  REQUIRE(Reported == 2);
+  REQUIRE(One.counters().Malformed == 1);
+  REQUIRE(One.counters().OtherVersion == 1);
+  First.stop();
+  Second.stop();
+}
