--- a/include/daisyspool/membership/SwimProtocol.h
+++ b/include/daisyspool/membership/SwimProtocol.h
@@ -196,7 +196,11 @@
   };
   struct BodyHandler;
 
-  void merge(const MemberUpdate &Update, TimePoint Now);
+  /// Where an update came from: news on its way, or another process's table.
+  enum class Source { Gossip, Table };
+
+  void merge(const MemberUpdate &Update, TimePoint Now,
+             Source From = Source::Gossip);
   void refute(const MemberUpdate &Update);
   void enqueue(const ProcessId &Id, bool WithInfo);
   void observeSender(const Datagram &Message, TimePoint Now);
--- a/src/membership/SwimProtocol.cpp
+++ b/src/membership/SwimProtocol.cpp
@@ -105,7 +105,8 @@
   enqueue(Self, OtherInfo);
 }
 
-void SwimProtocol::merge(const MemberUpdate &Update, TimePoint Now) {
+void SwimProtocol::merge(const MemberUpdate &Update, TimePoint Now,
+                         Source From) {
   if (Update.Id == Self)
     return refute(Update);
 
@@ -124,7 +125,9 @@
   if (Outcome == MembershipTable::Outcome::Stale || !Known)
     return;
 
-  enqueue(Update.Id, !Before || Known->InfoNumber > InfoBefore);
+  // A record that fills a gap in this table is no news to others.
+  if (Before || From == Source::Gossip)
+    enqueue(Update.Id, !Before || Known->InfoNumber > InfoBefore);
   if (Known->State == MemberState::Suspect) {
     const auto Wait = Duration(static_cast<std::int64_t>(
         Config.SuspicionFactor * logMembers() *
@@ -138,7 +141,7 @@
 void SwimProtocol::learn(const std::vector<MemberUpdate> &Sample,
                          TimePoint Now) {
   for (const MemberUpdate &Update : Sample)
-    merge(Update, Now);
+    merge(Update, Now, Source::Table);
   MissingInfo.clear();
   NextSync = std::min(NextSync, Now);
 }
@@ -735,8 +738,9 @@
   if (Leaving || Message.Sender == Self)
     return Out;
 
+  const bool IsTable = std::holds_alternative<SyncRecords>(Message.Body);
   for (const MemberUpdate &Update : Message.Updates)
-    merge(Update, Now);
+    merge(Update, Now, IsTable ? Source::Table : Source::Gossip);
   observeSender(Message, Now);
   std::visit(BodyHandler{*this, Out, From, Message, Now}, Message.Body);
 
