Confirm new versions within the bound and shorten updates

Cause: a process was unconfirmed at once after each change, though it has 7 s to confirm the version; incarnations of wall-clock size cost 9 bytes twice.

Change: adoption counts as confirmation for the bound; an update carries the age of its info as a difference; the bench uses incarnations of real size, keeps entries alive and counts mapped blocks.

--- a/bench/capacity_membership.cpp
+++ b/bench/capacity_membership.cpp
@@ -217,7 +217,7 @@
   constexpr int Restarts = 6;
   for (int Round = 0; Round < Restarts; ++Round) {
     Sim.Gossip.restart(Count - 1 - static_cast<std::size_t>(Round),
-                       Incarnation(2000));
+                       GossipSimulation::First.next());
     Sim.Gossip.run(Millis(10000));
   }
   const auto Restarting = Sent.take();
@@ -238,7 +238,7 @@
 }
 
 /// An hour's cut of a third of the fleet and its end.
-void measureCut(std::size_t Count) {
+void measureCut(std::size_t Count, Slope &Heal) {
   GossipSimulation Sim(32, 3);
   for (std::size_t Index = 0; Index < Count; ++Index)
     Sim.add(Index < EntriesAtLeast ? MemberRole::Entry : MemberRole::Agent);
@@ -255,14 +255,22 @@
   const auto After = Sent.take();
   bench("membership_cut", members(Count), "bytes_per_second_during",
         During.Bytes);
-  bench("membership_cut", members(Count), "seconds_to_heal",
-        std::chrono::duration<double>(Sim.now() - Healed).count());
+  const double Seconds =
+      std::chrono::duration<double>(Sim.now() - Healed).count();
+  Heal.add(static_cast<double>(Count), Seconds);
+  bench("membership_cut", members(Count), "seconds_to_heal", Seconds);
   bench("membership_cut", members(Count), "bytes_per_second_healing",
         After.Bytes);
   bench("membership_cut", members(Count), "busiest_bytes_per_second_healing",
         After.BusiestBytes);
 }
 
+/// Bytes in use, in the heap and in blocks that malloc maps on their own.
+std::size_t heapBytes() {
+  const auto Info = mallinfo2();
+  return Info.uordblks + Info.hblkhd;
+}
+
 MemberUpdate updateFor(std::size_t Index) {
   MemberInfo Info;
   Info.Address = {"10.12." + std::to_string(Index / 250) + "." +
@@ -294,9 +302,9 @@
   TimePoint Now{};
   const MemberUpdate Own = updateFor(Count + 1);
   SwimProtocol Machine({}, Own.Id, Own.Number, *Own.Info, 33, Now);
-  const auto Before = mallinfo2().uordblks;
+  const auto Before = heapBytes();
   Machine.learn(All, Now);
-  const auto Grown = mallinfo2().uordblks - Before;
+  const auto Grown = heapBytes() - Before;
   const auto X = static_cast<double>(Count);
   const double PerMember = static_cast<double>(Grown) / X;
   bench("membership_node", members(Count), "bytes_per_member", PerMember);
@@ -405,7 +413,9 @@
     const auto Change = Origin.document().changeTo(
         Next, ChangeId(std::to_string(Round)), OperatorId("bench"));
     Target = Change.Version;
-    send(0, Origin.accepted(Change));
+    const auto Pushes = Origin.accepted(Change, Now);
+    Origin.storeHad(Target, Now);
+    send(0, Pushes);
     Arrived.push_back(0);
     while (Arrived.size() < Count - Dead && Now - Start < Millis(60000))
       step(Start);
@@ -428,7 +438,7 @@
 
   void push(Event Next) { Events.push(std::move(Next)); }
 
-  bool dead(std::size_t Index) const { return Index != 0 && Index <= Dead; }
+  bool dead(std::size_t Index) const { return Index >= Count - Dead; }
 
   void deliver(std::size_t From, std::size_t To, std::string Bytes,
                bool IsProbe) {
@@ -594,8 +604,10 @@
   Fleet.InForce.print("config_in_force", "milliseconds", "log10_members");
   Fleet.Death.print("membership_death", "seconds", "log10_members");
 
-  for (const std::size_t Count : {30, 100, 300})
-    measureCut(Count);
+  Slope Heal;
+  for (const std::size_t Count : {30, 100, 300, 600})
+    measureCut(Count, Heal);
+  Heal.print("membership_heal", "seconds", "member");
 
   for (const std::size_t Count : {11, 50, 100, 300, 1000, 4000, 16000}) {
     comparePolling(Count);
--- a/include/daisyspool/config/ConfigSpread.h
+++ b/include/daisyspool/config/ConfigSpread.h
@@ -63,11 +63,12 @@
 
   /// Adopts a whole document, from the store or an entry, if its version is
   /// higher. Returns whether it was.
-  bool adopt(ConfigDocument Document);
+  bool adopt(ConfigDocument Document, TimePoint Now);
 
   /// Adopts a change that the caller has just committed or read from the
   /// store, and pushes it.
-  std::vector<ConfigOutgoing> accepted(const ConfigChange &Change);
+  std::vector<ConfigOutgoing> accepted(const ConfigChange &Change,
+                                       TimePoint Now);
 
   /// Entries only: the store's head was read and had \p Version, at \p Now or
   /// earlier. Returns whether this process is behind it and has to read the
@@ -85,8 +86,9 @@
                                     ConfigVersion Version,
                                     std::optional<Millis> Age, TimePoint Now);
 
-  /// Whether the version in force was confirmed recently enough to take
-  /// operators' changes.
+  /// Whether the version in force was confirmed, or adopted, recently enough to
+  /// take operators' changes. A version is durable before it is pushed, so a
+  /// process has the whole bound to confirm a new one.
   bool confirmed(TimePoint Now) const;
 
   /// Time of the last confirmation of the version in force.
@@ -112,7 +114,7 @@
                                       ConfigVersion Have) const;
   std::vector<ConfigOutgoing> onPush(const ProcessId &From, Push Part,
                                      TimePoint Now);
-  bool adoptChange(const ConfigChange &Change);
+  bool adoptChange(const ConfigChange &Change, TimePoint Now);
   void fragment(std::vector<ConfigOutgoing> &Out, const ProcessId &To,
                 const ConfigChange &Change, bool Fresh) const;
 
@@ -123,6 +125,7 @@
   std::map<ConfigVersion, Partial> Partials;
   std::map<ConfigVersion, ConfigChange> Waiting;
   std::optional<TimePoint> Confirmed;
+  std::optional<TimePoint> Adopted;
   std::optional<TimePoint> FetchUntil;
   bool NeedsDocument = false;
   SpreadCounters Counts;
--- a/src/config/ConfigSpread.cpp
+++ b/src/config/ConfigSpread.cpp
@@ -31,7 +31,7 @@
 ConfigSpread::ConfigSpread(Options Config, PeerSource Peers)
     : Config(Config), Peers(std::move(Peers)) {}
 
-bool ConfigSpread::adopt(ConfigDocument NewDocument) {
+bool ConfigSpread::adopt(ConfigDocument NewDocument, TimePoint Now) {
   if (NewDocument.version() <= Document.version())
     return false;
 
@@ -42,11 +42,12 @@
   Partials.clear();
   NeedsDocument = false;
   Confirmed.reset();
+  Adopted = Now;
   ++Counts.Adopted;
   return true;
 }
 
-bool ConfigSpread::adoptChange(const ConfigChange &Change) {
+bool ConfigSpread::adoptChange(const ConfigChange &Change, TimePoint Now) {
   if (Change.Version <= Document.version()) {
     ++Counts.Stale;
     return false;
@@ -68,6 +69,7 @@
   }
   ++Counts.Adopted;
   Confirmed.reset();
+  Adopted = Now;
   History.push_back(Change);
   if (History.size() > Config.History)
     History.pop_front();
@@ -101,8 +103,9 @@
   return Out;
 }
 
-std::vector<ConfigOutgoing> ConfigSpread::accepted(const ConfigChange &Change) {
-  if (!adoptChange(Change))
+std::vector<ConfigOutgoing> ConfigSpread::accepted(const ConfigChange &Change,
+                                                   TimePoint Now) {
+  if (!adoptChange(Change, Now))
     return {};
   return push(Change);
 }
@@ -114,7 +117,10 @@
 }
 
 bool ConfigSpread::confirmed(TimePoint Now) const {
-  return Confirmed && Now - *Confirmed <= Config.ConfirmWithin;
+  const auto Recent = [&](const std::optional<TimePoint> &When) {
+    return When && Now - *When <= Config.ConfirmWithin;
+  };
+  return Recent(Confirmed) || Recent(Adopted);
 }
 
 std::vector<ConfigOutgoing> ConfigSpread::fetch(const ProcessId &Peer,
@@ -201,7 +207,7 @@
     throw ProtocolError("configuration change of another version");
 
   std::vector<ConfigOutgoing> Out;
-  if (!adoptChange(Change)) {
+  if (!adoptChange(Change, Now)) {
     if (Change.Version > Document.version())
       Out = fetch(From, Now);
     return Out;
@@ -213,7 +219,7 @@
   for (auto Next = Waiting.begin();
        Next != Waiting.end() && Next->first <= Document.version().next();
        Next = Waiting.erase(Next))
-    adoptChange(Next->second);
+    adoptChange(Next->second, Now);
   Partials.erase(Partials.begin(), Partials.upper_bound(Document.version()));
   FetchUntil.reset();
   return Out;
--- a/src/membership/Datagram.cpp
+++ b/src/membership/Datagram.cpp
@@ -35,7 +35,9 @@
 void packUpdate(Packer &To, const MemberUpdate &Update) {
   To.pack_array(Update.Info ? 5 : 4);
   To.pack(Update.Id).pack(static_cast<std::uint8_t>(Update.State));
-  To.pack(Update.Number).pack(Update.InfoNumber);
+  // Incarnations are wall-clock numbers of 9 bytes; their difference is small.
+  To.pack(Update.Number);
+  To.pack(Update.Number.value() - Update.InfoNumber.value());
   if (Update.Info)
     packInfo(To, *Update.Info);
 }
@@ -137,9 +139,10 @@
 
   Update.State = static_cast<MemberState>(State);
   Update.Number = Fields.read<Incarnation>();
-  Update.InfoNumber = Fields.read<Incarnation>();
-  if (Update.InfoNumber > Update.Number)
-    throw MalformedDatagram("info newer than its member");
+  const auto Older = Fields.read<std::uint64_t>();
+  if (Older > Update.Number.value())
+    throw MalformedDatagram("info older than any incarnation");
+  Update.InfoNumber = Incarnation(Update.Number.value() - Older);
   if (!Fields.done())
     Update.Info = readInfo(Fields.object());
   return Update;
--- a/tests/config/ConfigSimulation.h
+++ b/tests/config/ConfigSimulation.h
@@ -103,9 +103,11 @@
       const ConfigVersion Head = Store.head().Version;
       if (Spread.storeHad(Head, Gossip.now())) {
         for (const ConfigChange &Change :
-             Store.changesAfter(Spread.document().version(), 100))
-          transmit(Index, Spread.accepted(Change));
-        Spread.storeHad(Head, Gossip.now());
+             Store.changesAfter(Spread.document().version(), 100)) {
+          const auto Pushes = Spread.accepted(Change, Gossip.now());
+          Spread.storeHad(Head, Gossip.now());
+          transmit(Index, Pushes);
+        }
       }
     } catch (const PlatformUnavailable &) {
       return;
--- a/tests/config/ConfigSpreadTest.cpp
+++ b/tests/config/ConfigSpreadTest.cpp
@@ -74,7 +74,7 @@
     const auto Change = Sender.document().changeTo(
         {{"team/a", std::to_string(Round)}}, ChangeId(std::to_string(Round)),
         OperatorId("ada"));
-    for (const ConfigOutgoing &Each : Sender.accepted(Change))
+    for (const ConfigOutgoing &Each : Sender.accepted(Change, TimePoint()))
       Sent.push_back(Each.Bytes);
   }
   REQUIRE(Sent.size() == 4);
@@ -86,8 +86,8 @@
   }
   REQUIRE(Receiver.document().hash() == Sender.document().hash());
   REQUIRE(Receiver.document().version() == ConfigVersion(4));
-  REQUIRE_FALSE(
-      Receiver.adopt(ConfigDocument(ConfigVersion(3), {{"team/a", "3"}})));
+  REQUIRE_FALSE(Receiver.adopt(
+      ConfigDocument(ConfigVersion(3), {{"team/a", "3"}}), TimePoint()));
 }
 
 // Guards against a process that waits for ever for changes that its peers no
@@ -99,8 +99,9 @@
   ConfigSpread Behind({}, noPeers);
   for (int Round = 1; Round <= 4; ++Round)
     Ahead.accepted(Ahead.document().changeTo(
-        {{"team/a", std::to_string(Round)}}, ChangeId(std::to_string(Round)),
-        OperatorId("ada")));
+                       {{"team/a", std::to_string(Round)}},
+                       ChangeId(std::to_string(Round)), OperatorId("ada")),
+                   TimePoint());
 
   const auto Ask = Behind.heard(ProcessId("ahead"), Ahead.document().version(),
                                 std::nullopt, TimePoint());
@@ -110,7 +111,7 @@
   REQUIRE(Answer.size() == 1);
   Behind.receive(ProcessId("ahead"), Answer.front().Bytes, TimePoint());
   REQUIRE(Behind.needsDocument());
-  REQUIRE(Behind.adopt(Ahead.document()));
+  REQUIRE(Behind.adopt(Ahead.document(), TimePoint()));
   REQUIRE_FALSE(Behind.needsDocument());
 }
 
@@ -119,11 +120,13 @@
   ConfigSpread Sender({}, [](std::size_t) {
     return std::vector<ProcessId>{ProcessId("receiver")};
   });
-  const auto Good = Sender
-                        .accepted(Sender.document().changeTo(
-                            {{"team/a", "1"}}, ChangeId("1"), OperatorId("o")))
-                        .front()
-                        .Bytes;
+  const auto Good =
+      Sender
+          .accepted(Sender.document().changeTo({{"team/a", "1"}}, ChangeId("1"),
+                                               OperatorId("o")),
+                    TimePoint())
+          .front()
+          .Bytes;
   Random Rng(13);
   ConfigSpread Receiver({}, noPeers);
   std::uint64_t Refused = 0;
--- a/tests/config/FleetStateTest.cpp
+++ b/tests/config/FleetStateTest.cpp
@@ -27,7 +27,7 @@
   ConfigSimulation Sim{21, Members, Entries, 3};
   std::map<std::uint64_t, ConfigEntries> History{{0, {}}};
   std::uint64_t NextChange = 1;
-  std::uint64_t Lives = 2000;
+  std::uint64_t Lives = GossipSimulation::First.value() + 1000;
 
   struct Seen {
     std::uint64_t Life = 0;
@@ -248,7 +248,8 @@
   };
   Sim.Gossip.run(Millis(60000));
   for (std::size_t Index = 0; Index < Members; ++Index)
-    Sim.Gossip.restart(Index, Incarnation(2000 + Index));
+    Sim.Gossip.restart(
+        Index, Incarnation(GossipSimulation::First.value() + 1 + Index));
   Sim.Gossip.run(Millis(60000));
   REQUIRE(Sim.Gossip.Nodes[0].Machine->table().reachableCount() == 3);
   Sim.Gossip.Cut = nullptr;
--- a/tests/membership/GossipSimulation.h
+++ b/tests/membership/GossipSimulation.h
@@ -16,6 +16,10 @@
 /// reordering, cuts between failure domains, pauses and restarts.
 class GossipSimulation {
 public:
+  /// Incarnation of a process that is not a restarted one, in the size that
+  /// wall-clock milliseconds have.
+  static constexpr Incarnation First{1764842400000};
+
   struct Network {
     double Loss = 0;
     double Duplicate = 0;
@@ -50,15 +54,15 @@
     Nodes.emplace_back();
     Nodes.back().Domain = Index % Domains;
     Roles.push_back(Role);
-    boot(Index, Incarnation(1000));
+    boot(Index, First);
     return Index;
   }
 
   /// Replaces the process of \p Index by a new one without state.
-  void restart(std::size_t Index, Incarnation First) {
+  void restart(std::size_t Index, Incarnation Number) {
     Nodes[Index].Running = true;
     Nodes[Index].Paused = false;
-    boot(Index, First);
+    boot(Index, Number);
   }
 
   void stop(std::size_t Index) { Nodes[Index].Running = false; }
@@ -155,7 +159,7 @@
     }
   };
 
-  void boot(std::size_t Index, Incarnation First) {
+  void boot(std::size_t Index, Incarnation Number) {
     MemberInfo Info;
     Info.Role = Roles[Index];
     Info.Address = addressOf(Index);
@@ -166,7 +170,7 @@
     Info.Vm = VmId("vm-" + std::to_string(Index));
     Nodes[Index].Life = ++LastLife;
     Nodes[Index].Machine = std::make_unique<SwimProtocol>(
-        Config, ProcessId("worker-" + std::to_string(Index)), First, Info,
+        Config, ProcessId("worker-" + std::to_string(Index)), Number, Info,
         Rng.next(), Now);
     std::vector<MemberAddress> Seeds;
     for (std::size_t Seed = 0; Seed < Nodes.size() && Seeds.size() < 2; ++Seed)
--- a/tests/membership/SwimProtocolTest.cpp
+++ b/tests/membership/SwimProtocolTest.cpp
@@ -137,7 +137,7 @@
   Sim.restart(3, Incarnation(1));
 
   REQUIRE(Sim.runUntil([&] { return Sim.converged(); }, Millis(60000)));
-  REQUIRE(Sim.Nodes[3].Machine->incarnation() > Incarnation(1000));
+  REQUIRE(Sim.Nodes[3].Machine->incarnation() > GossipSimulation::First);
 }
 
 // Guards against malformed input that crashes a process or changes its table.
