Heal a cut without declaring members of one's own side dead

Cause: at the end of a cut, each side heard from the other that its own members were dead, and took that as newer news until they refuted it.

Change: news of a death starts a suspicion at the receiver, which asks the doubted member directly and decides by its own timer. A process that hears from a member it held dead compares tables with it at once. Refutations go before other updates. Tests check that no side loses its own members and that a table learnt from another process is not gossiped on.

--- a/bench/capacity_membership.cpp
+++ b/bench/capacity_membership.cpp
@@ -251,7 +251,15 @@
   const auto During = Sent.take();
   Sim.Cut = nullptr;
   const TimePoint Healed = Sim.now();
+  std::uint64_t DeathsBefore = 0;
+  for (const auto &Node : Sim.Nodes)
+    DeathsBefore += Node.Machine->counters().DeclaredDead;
   Sim.runUntil([&] { return Sim.converged(); }, Millis(600000));
+  std::uint64_t Deaths = 0;
+  for (const auto &Node : Sim.Nodes)
+    Deaths += Node.Machine->counters().DeclaredDead;
+  bench("membership_cut", members(Count), "deaths_declared_healing",
+        static_cast<double>(Deaths - DeathsBefore));
   const auto After = Sent.take();
   bench("membership_cut", members(Count), "bytes_per_second_during",
         During.Bytes);
--- a/include/daisyspool/membership/SwimProtocol.h
+++ b/include/daisyspool/membership/SwimProtocol.h
@@ -196,14 +196,15 @@
   };
   struct BodyHandler;
 
-  /// Where an update came from: news on its way, or another process's table.
-  enum class Source { Gossip, Table };
+  /// Where an update came from: news on its way, another process's table, or
+  /// this process's own timers.
+  enum class Source { Gossip, Table, Own };
 
-  void merge(const MemberUpdate &Update, TimePoint Now,
-             Source From = Source::Gossip);
+  void merge(MemberUpdate Update, TimePoint Now, Source From = Source::Gossip);
   void refute(const MemberUpdate &Update);
   void enqueue(const ProcessId &Id, bool WithInfo);
   void observeSender(const Datagram &Message, TimePoint Now);
+  void askDoubted(std::vector<Outgoing> &Out, TimePoint Now);
   void askAndCorrect(std::vector<Outgoing> &Out, const MemberAddress &From,
                      const Datagram &Message, TimePoint Now);
   void attachQueued(Datagram &Message, std::size_t Room);
@@ -260,6 +261,7 @@
   std::uint64_t NextGeneration = 1;
   std::vector<ProcessId> MissingInfo;
   std::vector<MemberAddress> Seeds;
+  std::vector<ProcessId> Doubts;
 
   /// Bytes that membership may send now, and what everything together may.
   double Tokens = 0;
--- a/src/membership/SwimProtocol.cpp
+++ b/src/membership/SwimProtocol.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t MaxHeld = 4096;
 constexpr std::size_t SummariesInPart = 120;
 constexpr std::size_t WantedInDatagram = 64;
+/// Doubted members asked after one datagram.
+constexpr std::size_t DoubtsAtOnce = 8;
 
 bool due(TimePoint Now, TimePoint When) { return Now >= When; }
 
@@ -83,7 +85,12 @@
   Generations[Id] = Generation;
   if (Queue.empty())
     Queue.emplace_back();
-  Queue.front().push_back({Id, Generation, WithInfo});
+  // A refutation overtakes the suspicions that it ends.
+  const Member *Known = Table.find(Id);
+  if (Known && Known->State == MemberState::Alive)
+    Queue.front().push_front({Id, Generation, WithInfo});
+  else
+    Queue.front().push_back({Id, Generation, WithInfo});
 }
 
 void SwimProtocol::refute(const MemberUpdate &Update) {
@@ -105,12 +112,19 @@
   enqueue(Self, OtherInfo);
 }
 
-void SwimProtocol::merge(const MemberUpdate &Update, TimePoint Now,
-                         Source From) {
+void SwimProtocol::merge(MemberUpdate Update, TimePoint Now, Source From) {
   if (Update.Id == Self)
     return refute(Update);
 
   const Member *Known = Table.find(Update.Id);
+  // News of a death only starts a suspicion here, so that the end of a cut does
+  // not kill members that the other side could not reach.
+  bool Doubted = false;
+  if (Update.State == MemberState::Dead && From != Source::Own && Known &&
+      Known->reachable()) {
+    Update.State = MemberState::Suspect;
+    Doubted = Known->State == MemberState::Alive;
+  }
   std::optional<MemberState> Before;
   Incarnation InfoBefore;
   if (Known) {
@@ -125,8 +139,11 @@
   if (Outcome == MembershipTable::Outcome::Stale || !Known)
     return;
 
-  // A record that fills a gap in this table is no news to others.
-  if (Before || From == Source::Gossip)
+  // A record that fills a gap in this table is no news to others. A doubted
+  // member is asked directly, which costs less than spreading the doubt.
+  if (Doubted)
+    Doubts.push_back(Update.Id);
+  else if (Before || From == Source::Gossip)
     enqueue(Update.Id, !Before || Known->InfoNumber > InfoBefore);
   if (Known->State == MemberState::Suspect) {
     const auto Wait = Duration(static_cast<std::int64_t>(
@@ -386,7 +403,7 @@
     ++Counts.DeclaredDead;
     merge({Entry.Id, MemberState::Dead, Entry.Number, Known->InfoNumber,
            std::nullopt},
-          Now);
+          Now, Source::Own);
   }
 }
 
@@ -738,6 +755,8 @@
   if (Leaving || Message.Sender == Self)
     return Out;
 
+  const Member *Before = Table.find(Message.Sender);
+  const bool WasDead = Before && Before->State == MemberState::Dead;
   const bool IsTable = std::holds_alternative<SyncRecords>(Message.Body);
   for (const MemberUpdate &Update : Message.Updates)
     merge(Update, Now, IsTable ? Source::Table : Source::Gossip);
@@ -745,9 +764,24 @@
   std::visit(BodyHandler{*this, Out, From, Message, Now}, Message.Body);
 
   askAndCorrect(Out, From, Message, Now);
+  askDoubted(Out, Now);
+  // A cut has ended: both sides learn at once what the other believed.
+  if (WasDead)
+    send(Out, From, Table.find(Message.Sender), SyncDigest{Table.digest()},
+         Now);
   return Out;
 }
 
+void SwimProtocol::askDoubted(std::vector<Outgoing> &Out, TimePoint Now) {
+  for (std::size_t Asked = 0; Asked < DoubtsAtOnce && !Doubts.empty();
+       ++Asked) {
+    const Member *Doubted = Table.find(Doubts.back());
+    Doubts.pop_back();
+    if (Doubted && Doubted->State == MemberState::Suspect)
+      send(Out, Doubted->Info.Address, Doubted, Probe{NextSequence++}, Now);
+  }
+}
+
 void SwimProtocol::askAndCorrect(std::vector<Outgoing> &Out,
                                  const MemberAddress &From,
                                  const Datagram &Message, TimePoint Now) {
--- a/tests/membership/SwimProtocolTest.cpp
+++ b/tests/membership/SwimProtocolTest.cpp
@@ -68,8 +68,9 @@
   REQUIRE(Sim.Nodes[4].Machine->counters().DeclaredDead == DeadBefore);
 }
 
-// Guards against a cut that splits the membership for good, and against a
-// storm of datagrams when it heals.
+// Guards against a cut that splits the membership for good, against a storm of
+// datagrams when it heals, and against members that their own side loses when
+// it hears that the other side could not reach them.
 TEST_CASE("an hour's cut heals within the rate limit") {
   GossipSimulation Sim(5, 3);
   for (int Index = 0; Index < 30; ++Index)
@@ -86,7 +87,17 @@
   for (const auto &Node : Sim.Nodes)
     Before.push_back(Node.Machine->counters().SentBytes);
   const TimePoint Healed = Sim.now();
-  REQUIRE(Sim.runUntil([&] { return Sim.converged(); }, Millis(60000)));
+  std::size_t KilledBySide = 0;
+  const auto Healing = [&] {
+    for (const auto &Viewer : Sim.Nodes)
+      for (const auto &Other : Sim.Nodes)
+        KilledBySide +=
+            (Viewer.Domain == 0) == (Other.Domain == 0) &&
+            !Viewer.Machine->table().find(Other.Machine->self())->reachable();
+    return Sim.converged();
+  };
+  REQUIRE(Sim.runUntil(Healing, Millis(60000)));
+  REQUIRE(KilledBySide == 0);
 
   const double Seconds =
       std::chrono::duration<double>(Sim.now() - Healed).count();
@@ -196,3 +207,23 @@
   }
   SUCCEED();
 }
+
+// Guards against a newcomer that gossips the whole table that it was given.
+TEST_CASE("records learnt from a table are not gossiped on") {
+  GossipSimulation Sim(10, 1);
+  Sim.add();
+  SwimProtocol &Machine = *Sim.Nodes[0].Machine;
+  MemberInfo Info;
+  Info.Address = {"10.0.0.1", 9};
+  const MemberUpdate Other{ProcessId("other"), MemberState::Alive,
+                           Incarnation(1), Incarnation(1), Info};
+  Machine.learn({Other}, Sim.now());
+  REQUIRE(Machine.table().find(Other.Id) != nullptr);
+
+  const Datagram Ask{Other.Id, Other.Number, {}, Probe{1}, {}};
+  const auto Answers = Machine.receive(Info.Address, encode(Ask), Sim.now());
+  REQUIRE(Answers.size() == 1);
+  const Datagram Answer = decode(Answers.front().Bytes);
+  REQUIRE(Answer.Updates.size() == 1);
+  REQUIRE(Answer.Updates.front().Id == Machine.self());
+}
