--- a/src/membership/SwimProtocol.cpp
+++ b/src/membership/SwimProtocol.cpp
@@ -9,8 +9,12 @@
 
 namespace {
 
-/// Datagrams that may go out in one burst, in seconds of the rate limit.
+/// Bytes that membership may send in one burst, in seconds of the rate limit.
 constexpr double BurstSeconds = 1.0;
+/// The same for payloads, which may use what an ordinary minute left over: a
+/// change of the configuration goes to 4 members at once or spreads too late.
+constexpr double PayloadBurstSeconds = 16.0;
+constexpr double PayloadReserve = 8192;
 /// Tokens kept for probes and their answers when updates or tables are sent.
 constexpr double UpdateReserve = 400;
 constexpr double SyncReserve = 1600;
@@ -21,6 +25,8 @@
 constexpr std::size_t MaxHeld = 4096;
 constexpr std::size_t SummariesInPart = 120;
 constexpr std::size_t WantedInDatagram = 64;
+/// Doubted members asked after one datagram.
+constexpr std::size_t DoubtsAtOnce = 8;
 
 bool due(TimePoint Now, TimePoint When) { return Now >= When; }
 
@@ -35,7 +41,7 @@
                            MemberInfo Info, std::uint64_t Seed, TimePoint Now)
     : Config(Config), Self(std::move(Id)), Number(First), Info(std::move(Info)),
       Rng(Seed), Tokens(static_cast<double>(Config.BytesPerSecond)),
-      LastRefill(Now), LastTick(Now) {
+      Saved(Tokens * PayloadBurstSeconds), LastRefill(Now), LastTick(Now) {
   assert(!Self.empty() && !this->Info.Address.Host.empty());
   Table.apply({Self, MemberState::Alive, Number, Number, this->Info}, Now);
   enqueue(Self, true);
@@ -79,7 +85,12 @@
   Generations[Id] = Generation;
   if (Queue.empty())
     Queue.emplace_back();
-  Queue.front().push_back({Id, Generation, WithInfo});
+  // A refutation overtakes the suspicions that it ends.
+  const Member *Known = Table.find(Id);
+  if (Known && Known->State == MemberState::Alive)
+    Queue.front().push_front({Id, Generation, WithInfo});
+  else
+    Queue.front().push_back({Id, Generation, WithInfo});
 }
 
 void SwimProtocol::refute(const MemberUpdate &Update) {
@@ -101,11 +112,19 @@
   enqueue(Self, OtherInfo);
 }
 
-void SwimProtocol::merge(const MemberUpdate &Update, TimePoint Now) {
+void SwimProtocol::merge(MemberUpdate Update, TimePoint Now, Source From) {
   if (Update.Id == Self)
     return refute(Update);
 
   const Member *Known = Table.find(Update.Id);
+  // News of a death only starts a suspicion here, so that the end of a cut does
+  // not kill members that the other side could not reach.
+  bool Doubted = false;
+  if (Update.State == MemberState::Dead && From != Source::Own && Known &&
+      Known->reachable()) {
+    Update.State = MemberState::Suspect;
+    Doubted = Known->State == MemberState::Alive;
+  }
   std::optional<MemberState> Before;
   Incarnation InfoBefore;
   if (Known) {
@@ -120,7 +139,12 @@
   if (Outcome == MembershipTable::Outcome::Stale || !Known)
     return;
 
-  enqueue(Update.Id, !Before || Known->InfoNumber > InfoBefore);
+  // A record that fills a gap in this table is no news to others. A doubted
+  // member is asked directly, which costs less than spreading the doubt.
+  if (Doubted)
+    Doubts.push_back(Update.Id);
+  else if (Before || From == Source::Gossip)
+    enqueue(Update.Id, !Before || Known->InfoNumber > InfoBefore);
   if (Known->State == MemberState::Suspect) {
     const auto Wait = Duration(static_cast<std::int64_t>(
         Config.SuspicionFactor * logMembers() *
@@ -134,7 +158,7 @@
 void SwimProtocol::learn(const std::vector<MemberUpdate> &Sample,
                          TimePoint Now) {
   for (const MemberUpdate &Update : Sample)
-    merge(Update, Now);
+    merge(Update, Now, Source::Table);
   MissingInfo.clear();
   NextSync = std::min(NextSync, Now);
 }
@@ -184,6 +208,7 @@
   const double Elapsed =
       std::chrono::duration<double>(Now - LastRefill).count();
   Tokens = std::min(Rate * BurstSeconds, Tokens + Rate * Elapsed);
+  Saved = std::min(Rate * PayloadBurstSeconds, Saved + Rate * Elapsed);
   LastRefill = std::max(LastRefill, Now);
 }
 
@@ -191,12 +216,17 @@
                         const Datagram &Message) {
   std::string Bytes = encode(Message);
   assert(Bytes.size() <= MaxDatagramBytes);
-  if (Tokens < static_cast<double>(Bytes.size())) {
+  const auto Cost = static_cast<double>(Bytes.size());
+  const bool IsPayload = std::holds_alternative<Payload>(Message.Body);
+  if (IsPayload ? Saved < Cost + PayloadReserve
+                : std::min(Tokens, Saved) < Cost) {
     ++Counts.Limited;
     return;
   }
 
-  Tokens -= static_cast<double>(Bytes.size());
+  Saved -= Cost;
+  if (!IsPayload)
+    Tokens -= Cost;
   ++Counts.Sent;
   Counts.SentBytes += Bytes.size();
   Out.push_back({To, std::move(Bytes)});
@@ -373,7 +403,7 @@
     ++Counts.DeclaredDead;
     merge({Entry.Id, MemberState::Dead, Entry.Number, Known->InfoNumber,
            std::nullopt},
-          Now);
+          Now, Source::Own);
   }
 }
 
@@ -534,6 +564,27 @@
   return Out;
 }
 
+std::vector<Outgoing>
+SwimProtocol::greetListed(const std::vector<ListedEntry> &Listed,
+                          TimePoint Now) {
+  std::vector<ListedEntry> Unreached;
+  for (const ListedEntry &Each : Listed) {
+    const Member *Known = Table.find(Each.Id);
+    if (Each.Id != Self && (!Known || !Known->reachable()))
+      Unreached.push_back(Each);
+  }
+
+  std::vector<Outgoing> Out;
+  for (std::size_t Left = Unreached.size();
+       Left > 0 && Unreached.size() - Left < Config.GreetListed; --Left) {
+    std::swap(Unreached[Left - 1], Unreached[Rng.below(Left)]);
+    const ListedEntry &Chosen = Unreached[Left - 1];
+    send(Out, Chosen.Address, Table.find(Chosen.Id), SyncDigest{Table.digest()},
+         Now);
+  }
+  return Out;
+}
+
 // ---- receiving ----
 
 /// Answers each kind of message.
@@ -704,15 +755,33 @@
   if (Leaving || Message.Sender == Self)
     return Out;
 
+  const Member *Before = Table.find(Message.Sender);
+  const bool WasDead = Before && Before->State == MemberState::Dead;
+  const bool IsTable = std::holds_alternative<SyncRecords>(Message.Body);
   for (const MemberUpdate &Update : Message.Updates)
-    merge(Update, Now);
+    merge(Update, Now, IsTable ? Source::Table : Source::Gossip);
   observeSender(Message, Now);
   std::visit(BodyHandler{*this, Out, From, Message, Now}, Message.Body);
 
   askAndCorrect(Out, From, Message, Now);
+  askDoubted(Out, Now);
+  // A cut has ended: both sides learn at once what the other believed.
+  if (WasDead)
+    send(Out, From, Table.find(Message.Sender), SyncDigest{Table.digest()},
+         Now);
   return Out;
 }
 
+void SwimProtocol::askDoubted(std::vector<Outgoing> &Out, TimePoint Now) {
+  for (std::size_t Asked = 0; Asked < DoubtsAtOnce && !Doubts.empty();
+       ++Asked) {
+    const Member *Doubted = Table.find(Doubts.back());
+    Doubts.pop_back();
+    if (Doubted && Doubted->State == MemberState::Suspect)
+      send(Out, Doubted->Info.Address, Doubted, Probe{NextSequence++}, Now);
+  }
+}
+
 void SwimProtocol::askAndCorrect(std::vector<Outgoing> &Out,
                                  const MemberAddress &From,
                                  const Datagram &Message, TimePoint Now) {
