Follow the changed admission and routing interfaces

Cause: the measured versions of admission and routing learn the time at the target apart from the network, which the request flow did not pass on.

Change: the flow reports the target's time and the class of each request.

--- a/src/entry/RequestFlow.cpp
+++ b/src/entry/RequestFlow.cpp
@@ -147,7 +147,8 @@
   Request.Remaining = Which->ExpiresAt - Time.now();
   Request.ExpectedService = In.Queue.expectedService(Which->What.Class);
   Request.Waiting = In.Queue.queued(Which->What.Class) + 1;
-  Request.KeepFreeAtHome = In.Queue.reservedAbove(Which->What.Class);
+  Request.Class = Which->What.Class;
+  Request.KeptAbove = In.Queue.keptAbove(Which->What.Class);
   while (Which->Attempts < MaxAttempts) {
     Request.Tried = Which->Tried;
     TimePoint Now = Time.now();
@@ -225,7 +226,7 @@
       return;
     auto Found = Flights.find(Next->Key);
     if (Found == Flights.end()) {
-      In.Queue.onDone(*Next, Duration::zero(), false);
+      In.Queue.onDone(*Next, Duration::zero(), Duration::zero(), false);
       continue;
     }
     FlightPtr Which = Found->second;
@@ -399,9 +400,12 @@
 void RequestFlow::finishServed(const FlightPtr &Which, wire::ServeReply Reply,
                                bool Succeeded) {
   TimePoint Now = Time.now();
+  Duration AtTarget = Reply.Load.AtTarget > Duration::zero()
+                          ? Reply.Load.AtTarget
+                          : Now - Which->SentAt;
   if (Which->Held)
     Which->In->Queue.onDone(*std::exchange(Which->Held, std::nullopt),
-                            Now - Which->SentAt, Succeeded);
+                            Now - Which->SentAt, AtTarget, Succeeded);
   Values.served(Which->What.Class, Now - Which->Arrived);
   FlowResult Result;
   Result.ServedBy = Which->SentTo;
@@ -515,7 +519,8 @@
   }
   if (Which->Held)
     Which->In->Queue.onDone(*std::exchange(Which->Held, std::nullopt),
-                            Time.now() - Which->SentAt, false);
+                            Time.now() - Which->SentAt, Duration::zero(),
+                            false);
 }
 
 void RequestFlow::finishProblem(const FlightPtr &Which, int Status,
