Run membership and the configuration spread in every process

Cause: accepted changes reached no process, and entries knew each other only through shard heads.

Change: a gossip duty in entry and agent, the entry's configuration duty, the administration API (config, status) with operator keys, and the commands apply, config and status.

Conclusion: the spread works in the processes; its bound under loss and cuts is proved by the module's stateful tests only.

--- a/include/daisyspool/agent/Announcer.h
+++ b/include/daisyspool/agent/Announcer.h
@@ -9,6 +9,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
+#include <vector>
+
 namespace daisyspool {
 
 /// Announces the target to any one entry through the balancer, again and
@@ -17,8 +20,11 @@
 /// Thread safety: call from the I/O thread only.
 class Announcer {
 public:
+  /// Gets the gossip addresses that an entry answered.
+  using SeedCallback = std::function<void(std::vector<http::Endpoint>)>;
+
   Announcer(boost::asio::io_context &Io, http::Endpoint Balancer,
-            wire::Announcement What, Millis Interval);
+            wire::Announcement What, Millis Interval, SeedCallback OnSeeds);
   Announcer(const Announcer &) = delete;
   Announcer &operator=(const Announcer &) = delete;
 
@@ -26,6 +32,7 @@
   void leave();
 
 private:
+  void onAnswer(const http::Response &Answer);
   void announce();
   void schedule();
 
@@ -33,6 +40,7 @@
   http::Endpoint Balancer;
   wire::Announcement What;
   Millis Interval;
+  SeedCallback OnSeeds;
   boost::asio::steady_timer Timer;
   Random Jitter;
 };
--- a/include/daisyspool/entry/TargetPool.h
+++ b/include/daisyspool/entry/TargetPool.h
@@ -51,6 +51,9 @@
   /// Adds or refreshes a target. Stale incarnations are ignored.
   void announce(const wire::Announcement &What);
 
+  /// Membership says that the target's incarnation \p Number takes no new work.
+  void leaving(const TargetId &Id, Incarnation Number);
+
   /// Removes targets that have not been heard of for the expiry.
   void expire();
 
--- /dev/null
+++ b/src/admin/Commands.cpp
@@ -0,0 +1,159 @@
+#include "daisyspool/admin/Commands.h"
+
+#include "daisyspool/config/ConfigFiles.h"
+#include "daisyspool/http/Client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <thread>
+
+namespace daisyspool {
+
+namespace {
+
+constexpr Millis CallTimeout{10000};
+constexpr std::chrono::seconds InForceLimit{30};
+constexpr Millis InForcePoll{200};
+constexpr int ExitFailed = 1;
+constexpr int ExitRefused = 3;
+
+http::Response call(const CommandTarget &Where, http::Request What) {
+  if (!Where.Key.empty())
+    What.Headers.push_back({"Authorization", "Bearer " + Where.Key});
+  What.Headers.push_back({"Daisyspool-Operator", Where.Operator});
+  return http::exchangeBlocking(Where.Entry, std::move(What), CallTimeout);
+}
+
+nlohmann::json parseAnswer(const http::Response &Answer) {
+  auto Document = nlohmann::json::parse(Answer.Body, nullptr, false);
+  if (Document.is_discarded())
+    throw ProtocolError("the entry answered something that is not JSON");
+
+  return Document;
+}
+
+int reportProblem(const http::Response &Answer) {
+  nlohmann::json Problem = parseAnswer(Answer);
+  std::cerr << Problem.value("title", "problem") << ": "
+            << Problem.value("detail", "") << '\n';
+  if (Problem.contains("mistakes"))
+    for (const auto &Each : Problem["mistakes"])
+      std::cerr << "  " << Each.value("message", "") << '\n';
+  if (Problem.contains("currentVersion"))
+    std::cerr << "  based on version " << Problem["expectedVersion"]
+              << ", in force is " << Problem["currentVersion"] << '\n';
+
+  bool Wrong = Answer.Status == 409 || Answer.Status == 412 ||
+               Answer.Status == 422 || Answer.Status == 400;
+  return Wrong ? ExitRefused : ExitFailed;
+}
+
+int waitInForce(const CommandTarget &Where, std::uint64_t Version) {
+  auto Start = std::chrono::steady_clock::now();
+  nlohmann::json Behind;
+  while (std::chrono::steady_clock::now() - Start < InForceLimit) {
+    nlohmann::json Status =
+        parseAnswer(call(Where, {"GET", "/v1/status", {}, {}}));
+    Behind = Status["behind"];
+    if (Status["configVersion"].get<std::uint64_t>() >= Version &&
+        Behind.empty()) {
+      auto Took = std::chrono::duration_cast<Millis>(
+          std::chrono::steady_clock::now() - Start);
+      std::cout << "version " << Version << " in force everywhere after "
+                << Took.count() << " ms\n";
+      return 0;
+    }
+    std::this_thread::sleep_for(InForcePoll);
+  }
+
+  std::cout << "version " << Version << " accepted; not yet in force at "
+            << Behind.dump() << '\n';
+  return ExitFailed;
+}
+
+} // namespace
+
+int applyConfig(const CommandTarget &Where, const std::string &Directory,
+                const std::string &ChangeId, bool DryRun) {
+  nlohmann::json Files = nlohmann::json::array();
+  for (const NamedText &Each : readConfigDirectory(Directory))
+    Files.push_back({{"name", Each.File}, {"text", Each.Text}});
+  http::Response Current = call(Where, {"GET", "/v1/config", {}, {}});
+  if (Current.Status != 200)
+    return reportProblem(Current);
+
+  http::Request Change{
+      "PUT",
+      DryRun ? "/v1/config?dryRun=yes" : "/v1/config",
+      {{"If-Match", http::findHeader(Current.Headers, "ETag").value_or("")},
+       {"Daisyspool-Change-Id", ChangeId}},
+      nlohmann::json{{"files", Files}}.dump()};
+  http::Response Answer = call(Where, std::move(Change));
+  if (Answer.Status != 200)
+    return reportProblem(Answer);
+
+  nlohmann::json Result = parseAnswer(Answer);
+  if (Where.Json)
+    std::cout << Result.dump() << '\n';
+  else if (Result.contains("difference"))
+    for (const auto &Line : Result["difference"])
+      std::cout << Line.get<std::string>() << '\n';
+  return DryRun ? 0
+                : waitInForce(Where, Result["version"].get<std::uint64_t>());
+}
+
+int showConfig(const CommandTarget &Where) {
+  http::Response Answer = call(Where, {"GET", "/v1/config", {}, {}});
+  if (Answer.Status != 200)
+    return reportProblem(Answer);
+  if (Where.Json) {
+    std::cout << Answer.Body << '\n';
+    return 0;
+  }
+
+  nlohmann::json Document = parseAnswer(Answer);
+  std::cout << "version " << Document["version"] << '\n';
+  for (const auto &[Name, Text] : Document["records"].items())
+    std::cout << "[" << Name << "]\n" << Text.get<std::string>() << '\n';
+  return 0;
+}
+
+int showStatus(const CommandTarget &Where) {
+  http::Response Answer = call(Where, {"GET", "/v1/status", {}, {}});
+  if (Answer.Status != 200)
+    return reportProblem(Answer);
+  if (Where.Json) {
+    std::cout << Answer.Body << '\n';
+    return 0;
+  }
+
+  nlohmann::json Document = parseAnswer(Answer);
+  std::cout << "configuration version " << Document["configVersion"]
+            << (Document["configConfirmed"].get<bool>() ? "" : " (unconfirmed)")
+            << ", requests in progress " << Document["inProgress"] << "\n\n";
+  std::cout << std::left << std::setw(28) << "PROCESS" << std::setw(8) << "ROLE"
+            << std::setw(9) << "STATE" << std::setw(18) << "FAILURE DOMAIN"
+            << "CONFIG\n";
+  for (const auto &Each : Document["members"])
+    std::cout << std::setw(28) << Each["process"].get<std::string>()
+              << std::setw(8) << Each["role"].get<std::string>() << std::setw(9)
+              << Each["state"].get<std::string>() << std::setw(18)
+              << Each["failureDomain"].get<std::string>()
+              << Each["configVersion"] << '\n';
+  std::cout << '\n'
+            << std::setw(8) << "SHARD" << std::setw(8) << "OWNED"
+            << std::setw(24) << "OWNER" << std::setw(10) << "WAITING"
+            << "LIVE\n";
+  for (const auto &Each : Document["shards"])
+    std::cout << std::setw(8) << Each["shard"].get<std::uint64_t>()
+              << std::setw(8) << (Each["owned"].get<bool>() ? "here" : "no")
+              << std::setw(24) << Each["owner"].get<std::string>()
+              << std::setw(10) << Each["waiting"].get<std::uint64_t>()
+              << Each["live"] << '\n';
+  return 0;
+}
+
+} // namespace daisyspool
--- a/src/agent/AgentProcess.cpp
+++ b/src/agent/AgentProcess.cpp
@@ -4,6 +4,7 @@
 #include "daisyspool/agent/TargetFront.h"
 #include "daisyspool/agent/TaskDuty.h"
 #include "daisyspool/commitments/RequestLedger.h"
+#include "daisyspool/gossip/GossipDuty.h"
 #include "daisyspool/http/Server.h"
 #include "daisyspool/process/DutySet.h"
 #include "daisyspool/telemetry/Log.h"
@@ -34,7 +35,8 @@
 class FrontDuty {
 public:
   FrontDuty(asio::io_context &Io, asio::io_context &TaskIo,
-            const AgentSettings &Settings, const Clock &Time)
+            asio::io_context &GossipIo, const AgentSettings &Settings,
+            const Clock &Time)
       : Settings(Settings),
         Time(Time), Self{Settings.Process,
                          Incarnation(static_cast<std::uint64_t>(
@@ -54,8 +56,12 @@
                   HttpWorker::Options{Settings.Worker, Settings.TaskLease / 10},
                   Time),
               [this](TaskOutput What) { Outputs->tryPush(What); }),
-        LeaveTimer(Io), Announce(Io, Settings.Balancer, announcement(),
-                                 Settings.AnnounceInterval),
+        LeaveTimer(Io), Gossip(GossipIo, Time, gossipOptions(), {}),
+        Announce(Io, Settings.Balancer, announcement(),
+                 Settings.AnnounceInterval,
+                 [this](std::vector<http::Endpoint> Seeds) {
+                   Gossip.greet(std::move(Seeds));
+                 }),
         MetricsPort(Io, metricsOptions(),
                     [this](http::Request Received,
                            std::shared_ptr<http::Exchange> Answer) {
@@ -68,6 +74,7 @@
     LogEvent(LogLevel::Info, "agent_draining")
         .with("bound_ms", Settings.DrainBound.count());
     LeavingSince = std::chrono::steady_clock::now();
+    Gossip.drain();
     Announce.leave();
     Front.drain(Settings.DrainBound,
                 [this, Done = std::move(Done)] { finishLeaving(Done); });
@@ -283,6 +290,17 @@
         {200, {{"Content-Type", "text/plain; version=0.0.4"}}, Values.text()});
   }
 
+  GossipDuty::Options gossipOptions() const {
+    MemberInfo Info;
+    Info.Role = MemberRole::Agent;
+    Info.Address = {Settings.Gossip.Address, Settings.Gossip.Port};
+    Info.FailureDomain = Settings.FailureDomain;
+    Info.LinkPort = Settings.Links.Port;
+    Info.Service = Settings.Service;
+    Info.Vm = Settings.Vm;
+    return {Settings.Process, Self.Number, Settings.Gossip, Info};
+  }
+
   RequestLedgerSettings ledgerSettings() const {
     RequestLedgerSettings Result;
     // Beyond the slots a request may wait in the front's queue.
@@ -310,6 +328,7 @@
   TaskDuty Tasks;
   asio::steady_timer LeaveTimer;
   std::chrono::steady_clock::time_point LeavingSince;
+  GossipDuty Gossip;
   Announcer Announce;
   http::Server MetricsPort;
 };
@@ -321,13 +340,16 @@
   SystemClock Time;
   asio::io_context Io(1);
   asio::io_context TaskIo(1);
-  FrontDuty Front(Io, TaskIo, Settings, Time);
+  asio::io_context GossipIo(1);
+  FrontDuty Front(Io, TaskIo, GossipIo, Settings, Time);
   asio::signal_set Signals(Io, SIGTERM, SIGINT);
   DutySet Duties;
   Signals.async_wait([&](boost::system::error_code Failure, int) {
     if (!Failure)
       Front.drain([&] { Duties.requestStop(); });
   });
+  Duties.add(
+      "gossip", [&] { GossipIo.run(); }, [&] { GossipIo.stop(); });
   Duties.add(
       "tasks", [&] { TaskIo.run(); }, [&] { TaskIo.stop(); });
   Duties.add(
--- a/src/agent/Announcer.cpp
+++ b/src/agent/Announcer.cpp
@@ -3,6 +3,8 @@
 #include "daisyspool/core/Hash.h"
 #include "daisyspool/telemetry/Log.h"
 
+#include <nlohmann/json.hpp>
+
 #include <memory>
 
 namespace daisyspool {
@@ -14,9 +16,10 @@
 } // namespace
 
 Announcer::Announcer(boost::asio::io_context &Io, http::Endpoint Balancer,
-                     wire::Announcement What, Millis Interval)
+                     wire::Announcement What, Millis Interval,
+                     SeedCallback OnSeeds)
     : Io(Io), Balancer(std::move(Balancer)), What(std::move(What)),
-      Interval(Interval), Timer(Io),
+      Interval(Interval), OnSeeds(std::move(OnSeeds)), Timer(Io),
       Jitter(stableHash(this->What.Agent.str(), this->What.Number.value())) {
   announce();
   schedule();
@@ -36,13 +39,28 @@
       {{"Content-Type", "application/json"}, {"Connection", "close"}},
       wire::toJson(What)};
   Once->send(std::move(Outgoing), AnnounceTimeout,
-             [Once](http::Response Answer, std::exception_ptr Failure) {
-               if (Failure || Answer.Status != 204)
-                 LogEvent(LogLevel::Warning, "announce_failed")
-                     .with("status", Answer.Status);
+             [this, Once](http::Response Answer, std::exception_ptr Failure) {
+               if (!Failure && Answer.Status == 200)
+                 return onAnswer(Answer);
+               LogEvent(LogLevel::Warning, "announce_failed")
+                   .with("status", Answer.Status);
              });
 }
 
+void Announcer::onAnswer(const http::Response &Answer) {
+  auto Document = nlohmann::json::parse(Answer.Body, nullptr, false);
+  if (!Document.is_object() || !Document.contains("gossip") ||
+      !Document["gossip"].is_array())
+    return;
+
+  std::vector<http::Endpoint> Seeds;
+  for (const auto &Each : Document["gossip"])
+    if (Each.is_string())
+      if (auto Where = http::parseEndpoint(Each.get<std::string>()))
+        Seeds.push_back(*Where);
+  OnSeeds(std::move(Seeds));
+}
+
 void Announcer::schedule() {
   // Agents that start together must not announce together for ever.
   auto Spread = Millis(static_cast<std::int64_t>(
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,3 +1,4 @@
+#include "daisyspool/admin/Commands.h"
 #include "daisyspool/agent/AgentProcess.h"
 #include "daisyspool/entry/EntryProcess.h"
 #include "daisyspool/settings/settings.h"
@@ -6,6 +7,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -13,6 +15,14 @@
 #include <vector>
 
 ABSL_FLAG(std::string, settings, "", "INI file of the process to run or check");
+ABSL_FLAG(std::string, entry, "", "operators' port of an entry, ADDRESS:PORT");
+ABSL_FLAG(std::string, config, "", "apply: directory of the configuration");
+ABSL_FLAG(std::string, change_id, "",
+          "apply: id of the change; a repeat under the same id has no effect");
+ABSL_FLAG(bool, dry_run, false, "apply: only check and show the difference");
+ABSL_FLAG(std::string, operator_name, "anonymous", "name of the operator");
+ABSL_FLAG(std::string, key_file, "", "file with the operator's key");
+ABSL_FLAG(bool, json, false, "print JSON");
 ABSL_FLAG(std::string, role, "",
           "check-config: which settings the file holds, entry or agent");
 
@@ -27,10 +37,18 @@
 
   daisyspool entry --settings FILE       serve callers and operators
   daisyspool agent --settings FILE       front the target on this VM
+  daisyspool apply --entry ADDRESS:PORT --config DIRECTORY --change_id ID [--dry_run]
+                                         accept a configuration
+  daisyspool config --entry ADDRESS:PORT show the configuration in force
+  daisyspool status --entry ADDRESS:PORT show members, shards and requests
   daisyspool check-config --role entry|agent --settings FILE
                                          check settings without starting
 
-Exit codes: 0 done, 1 failed while running, 2 wrong usage or settings.)";
+The operators' commands call the operators' port of any entry, take the key
+from --key_file, and print JSON with --json.
+
+Exit codes: 0 done, 1 failed while running, 2 wrong usage or settings, 3 the
+change is wrong or conflicts with another one.)";
 
 int runEntryCommand() {
   return runEntry(
@@ -42,6 +60,31 @@
       parseAgentSettings(IniFile::load(absl::GetFlag(FLAGS_settings))));
 }
 
+CommandTarget commandTarget() {
+  auto Entry = http::parseEndpoint(absl::GetFlag(FLAGS_entry));
+  if (!Entry)
+    throw SettingsError("(command line)", 0, "--entry",
+                        absl::GetFlag(FLAGS_entry), "ADDRESS:PORT");
+
+  CommandTarget Result;
+  Result.Entry = *Entry;
+  Result.Operator = absl::GetFlag(FLAGS_operator_name);
+  Result.Json = absl::GetFlag(FLAGS_json);
+  std::ifstream Key(absl::GetFlag(FLAGS_key_file));
+  std::getline(Key, Result.Key);
+  return Result;
+}
+
+int applyCommand() {
+  std::string ChangeId = absl::GetFlag(FLAGS_change_id);
+  if (ChangeId.empty())
+    throw SettingsError("(command line)", 0, "--change_id", "nothing",
+                        "an id that is new for each change");
+
+  return applyConfig(commandTarget(), absl::GetFlag(FLAGS_config), ChangeId,
+                     absl::GetFlag(FLAGS_dry_run));
+}
+
 int checkConfig() {
   std::string Path = absl::GetFlag(FLAGS_settings);
   std::string Role = absl::GetFlag(FLAGS_role);
@@ -66,6 +109,9 @@
   const std::map<std::string, std::function<int()>> Commands{
       {"entry", runEntryCommand},
       {"agent", runAgentCommand},
+      {"apply", applyCommand},
+      {"config", [] { return showConfig(commandTarget()); }},
+      {"status", [] { return showStatus(commandTarget()); }},
       {"check-config", checkConfig}};
   auto Chosen = Commands.find(Rest.size() == 2 ? Rest[1] : "");
   if (Chosen == Commands.end()) {
--- a/src/entry/CallerPort.cpp
+++ b/src/entry/CallerPort.cpp
@@ -4,6 +4,8 @@
 #include "daisyspool/telemetry/Log.h"
 #include "daisyspool/wire/Announcement.h"
 
+#include <nlohmann/json.hpp>
+
 namespace daisyspool {
 
 namespace {
@@ -115,7 +117,9 @@
     return Answer.respond(http::toResponse(
         {400, "bad-announcement", Problem.what(), std::nullopt}));
   }
-  Answer.respond({204, {}, {}});
+  nlohmann::json Reply{
+      {"gossip", nlohmann::json::array({http::toString(Settings.Gossip)})}};
+  Answer.respond({200, {{"Content-Type", "application/json"}}, Reply.dump()});
 }
 
 void CallerPort::handleService(http::Request Received,
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -1,10 +1,13 @@
 #include "daisyspool/entry/EntryProcess.h"
 
+#include "daisyspool/admin/AdminPort.h"
+#include "daisyspool/admin/ConfigDuty.h"
 #include "daisyspool/entry/PeerLinks.h"
 #include "daisyspool/entry/RequestFlow.h"
 #include "daisyspool/entry/RequestMetrics.h"
 #include "daisyspool/entry/ShardGateway.h"
 #include "daisyspool/entry/TargetPool.h"
+#include "daisyspool/gossip/GossipDuty.h"
 #include "daisyspool/http/Server.h"
 #include "daisyspool/platform/DynamoTable.h"
 #include "daisyspool/platform/S3Objects.h"
@@ -16,11 +19,16 @@
 #include "entry/CallerPort.h"
 #include "entry/JobPort.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <csignal>
+#include <memory>
 
 namespace daisyspool {
 
@@ -31,13 +39,36 @@
 constexpr Millis TargetExpiry{10000};
 constexpr Millis ExpiryInterval{1000};
 
+/// Names one start of the process, for logs that outlive it.
+ProcessId processLife(const EntrySettings &Settings, Incarnation Number) {
+  return ProcessId(Settings.Process.str() + "@" +
+                   std::to_string(Number.value()));
+}
+
+GossipDuty::Options gossipOptions(const EntrySettings &Settings,
+                                  Incarnation Number) {
+  MemberInfo Info;
+  Info.Role = MemberRole::Entry;
+  Info.Address = {Settings.Gossip.Address, Settings.Gossip.Port};
+  Info.FailureDomain = Settings.FailureDomain;
+  Info.LinkPort = Settings.Peers.Port;
+  return {Settings.Process, Number, Settings.Gossip, Info};
+}
+
+/// Runs \p Io until it is stopped, also while nothing is queued.
+void runForever(asio::io_context &Io) {
+  auto Guard = asio::make_work_guard(Io);
+  Io.run();
+}
+
 /// The duty that serves callers: their connections, the links to agents, and
 /// the decisions between the two.
 class RequestDuty {
 public:
   RequestDuty(asio::io_context &Io, const EntrySettings &Settings,
               Incarnation Number, const Clock &Time, Metrics &Values)
-      : Requests(Values), Spans(Settings.TraceFile, Settings.Process.str()),
+      : Io(Io), Requests(Values),
+        Spans(Settings.TraceFile, Settings.Process.str()),
         Pool(Io, Time, TargetExpiry, poolCallbacks()),
         Shards(Io, Time, shardOptions(Settings, Number), Pool,
                tableFactory(Settings, Time), objectFactory(Settings, Time)),
@@ -60,6 +91,22 @@
     Port.drain(std::move(Done));
   }
 
+  /// Any thread. Takes what membership says of an agent.
+  void onMember(const Member &Which) {
+    if (Which.Info.Role != MemberRole::Agent)
+      return;
+
+    bool Leaving = Which.Info.Draining || Which.State == MemberState::Left;
+    if (Leaving)
+      asio::post(Io, [this, Id = TargetId(Which.Id.str()),
+                      Number = Which.Number] { Pool.leaving(Id, Number); });
+  }
+
+  /// Any thread. The state of requests and shards as a JSON object.
+  void status(std::function<void(std::string)> Done) {
+    asio::post(Io, [this, Done = std::move(Done)] { Done(describe()); });
+  }
+
   std::vector<asio::io_context *> shardContexts() {
     return Shards.shardContexts();
   }
@@ -67,9 +114,7 @@
 private:
   static ShardGateway::Options shardOptions(const EntrySettings &Settings,
                                             Incarnation Number) {
-    ProcessId Life(Settings.Process.str() + "@" +
-                   std::to_string(Number.value()));
-    return {Life,
+    return {processLife(Settings, Number),
             Number,
             http::toString(Settings.Peers),
             Settings.Shards,
@@ -109,6 +154,26 @@
     };
   }
 
+  std::string describe() const {
+    nlohmann::json ShardList = nlohmann::json::array();
+    for (const auto &[Id, View] : Shards.views())
+      ShardList.push_back({{"shard", Id.value()},
+                           {"owned", View.Owned},
+                           {"owner", View.OwnerAddress},
+                           {"waiting", View.Waiting},
+                           {"live", View.Live}});
+    nlohmann::json TargetList = nlohmann::json::array();
+    for (const auto &[Id, Each] : Pool.targets())
+      TargetList.push_back({{"target", Id.str()},
+                            {"service", Each->About.Service.str()},
+                            {"up", Each->Connection->up()},
+                            {"leaving", Each->About.Leaving}});
+    return nlohmann::json{{"inProgress", Flow.inProgress()},
+                          {"shards", ShardList},
+                          {"targets", TargetList}}
+        .dump();
+  }
+
   TargetPool::Callbacks poolCallbacks() {
     TargetPool::Callbacks Hooks;
     Hooks.OnUp = [this](const PooledTarget &Which) {
@@ -142,6 +207,7 @@
     });
   }
 
+  asio::io_context &Io;
   RequestMetrics Requests;
   SpanExporter Spans;
   TargetPool Pool;
@@ -153,41 +219,6 @@
   asio::steady_timer ExpiryTimer;
 };
 
-/// The operators' port. It has a thread of its own, so that it answers while
-/// callers flood the entry.
-class OperatorDuty {
-public:
-  OperatorDuty(asio::io_context &Io, const EntrySettings &Settings,
-               Metrics &Values)
-      : Values(Values), Port(Io, portOptions(Settings),
-                             [this](http::Request Received,
-                                    std::shared_ptr<http::Exchange> Answer) {
-                               handle(Received, *Answer);
-                             }) {}
-
-private:
-  static http::Server::Options portOptions(const EntrySettings &Settings) {
-    http::Server::Options Result;
-    Result.Listen = Settings.Operators;
-    Result.MaxConnections = 64;
-    return Result;
-  }
-
-  void handle(const http::Request &Received, http::Exchange &Answer) {
-    if (Received.Target == "/metrics")
-      return Answer.respond({200,
-                             {{"Content-Type", "text/plain; version=0.0.4"}},
-                             Values.text()});
-
-    Answer.respond(http::toResponse({404, "not-found",
-                                     "No such path on the operators' port",
-                                     std::nullopt}));
-  }
-
-  Metrics &Values;
-  http::Server Port;
-};
-
 } // namespace
 
 int runEntry(const EntrySettings &Settings) {
@@ -198,7 +229,20 @@
   asio::io_context RequestIo(1);
   asio::io_context OperatorIo(1);
   RequestDuty Requests(RequestIo, Settings, Number, Time, Values);
-  OperatorDuty Operators(OperatorIo, Settings, Values);
+  asio::io_context GossipIo(1);
+  asio::io_context ConfigIo(1);
+  GossipDuty Gossip(
+      GossipIo, Time, gossipOptions(Settings, Number),
+      {[&](const Member &Which) { Requests.onMember(Which); }, {}});
+  ConfigDuty Config(
+      ConfigIo, {processLife(Settings, Number), Settings.Gossip},
+      std::make_unique<DynamoTable>(DynamoTable::Options{Settings.Table}, Time),
+      Gossip);
+  AdminPort Operators(OperatorIo, Settings.Operators,
+                      OperatorKeys(Settings.OperatorKeys), Values, Gossip,
+                      Config, [&](std::function<void(std::string)> Done) {
+                        Requests.status(std::move(Done));
+                      });
 
   DutySet Duties;
   asio::signal_set Signals(RequestIo, SIGTERM, SIGINT);
@@ -211,6 +255,10 @@
   for (asio::io_context *Shard : Requests.shardContexts())
     Duties.add(
         "shard", [Shard] { Shard->run(); }, [Shard] { Shard->stop(); });
+  Duties.add(
+      "gossip", [&] { GossipIo.run(); }, [&] { GossipIo.stop(); });
+  Duties.add(
+      "config", [&] { runForever(ConfigIo); }, [&] { ConfigIo.stop(); });
   Duties.add(
       "operators", [&] { OperatorIo.run(); }, [&] { OperatorIo.stop(); });
   LogEvent(LogLevel::Info, "entry_started")
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -61,6 +61,17 @@
   Target.Connection = std::make_unique<Link>(Io, LinkOptions, LinkHooks);
 }
 
+void TargetPool::leaving(const TargetId &Id, Incarnation Number) {
+  PooledTarget *Target = find(Id);
+  if (Target == nullptr || Target->About.Leaving ||
+      Target->About.Number > Number)
+    return;
+
+  Target->About.Leaving = true;
+  Hooks.OnLeaving(*Target);
+  Hooks.OnFleetChanged();
+}
+
 void TargetPool::expire() {
   TimePoint Oldest = Time.now() - Expiry;
   for (auto Each = Targets.begin(); Each != Targets.end();) {
