--- a/include/daisyspool/journal/journal.h
+++ b/include/daisyspool/journal/journal.h
@@ -4,12 +4,14 @@
 //
 //   Entry.h         the rows of a log, their codec and hash chain
 //   Lease.h         how long a holder and a candidate trust a lease
+//   ShardCount.h    the number of shards, fixed for a store
 //   ShardJournal.h  ownership, appends, replay and snapshots of one log
 #ifndef DAISYSPOOL_JOURNAL_JOURNAL_H
 #define DAISYSPOOL_JOURNAL_JOURNAL_H
 
 #include "daisyspool/journal/Entry.h"
 #include "daisyspool/journal/Lease.h"
+#include "daisyspool/journal/ShardCount.h"
 #include "daisyspool/journal/ShardJournal.h"
 
 #endif // DAISYSPOOL_JOURNAL_JOURNAL_H
--- a/tests/journal/ShardJournalTest.cpp
+++ b/tests/journal/ShardJournalTest.cpp
@@ -134,3 +134,14 @@
     REQUIRE_THROWS_AS(Setup.Second.Log.replay(), JournalCorrupt);
   }
 }
+
+// Guards against two processes with other settings that send one request id to
+// two shards, which would run it twice.
+TEST_CASE("the shard count of a store never changes") {
+  Fixture Setup;
+  Setup.First.Table.Fault = StoreFault::LostAnswer;
+  REQUIRE_THROWS_AS(agreedShardCount(Setup.First.Table, 8),
+                    PlatformUnavailable);
+  REQUIRE(agreedShardCount(Setup.First.Table, 8) == 8);
+  REQUIRE(agreedShardCount(Setup.Second.Table, 16) == 8);
+}
