Measure decisions on a full fleet and with a noise model

Cause: the cost of a decision was measured only where a VM had room and without the model of interference.

Change: the benchmark also times refusals and evictions on a full fleet, uses a trained model and prints the bytes of the model and the colocation history.

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -461,6 +461,7 @@
   explicit DecisionCost(std::size_t Vms) : Vms(Vms), Seeded(Vms) {
     for (std::size_t I = 0; I < Vms; ++I)
       Fleet.addVm({sizeOf(32, 125), RackIndex(I / 3), DomainIndex(I % 11)});
+    learnNoise();
     // 408,000 tasks on 16,000 workers: three services and 22.5 batch tasks.
     std::size_t Tasks = Vms * 255 / 10;
     for (std::size_t I = 0; I < Tasks; ++I)
@@ -469,7 +470,7 @@
 
   void measure() {
     std::string Bench = "decision_" + std::to_string(Vms);
-    time(Bench, "indexed", [&](const TaskSpec &Spec) { placeAndStop(Spec); });
+    measureIndexed(Bench, "indexed");
     time(Bench, "scan", [&](const TaskSpec &Spec) { scan(Spec); });
     print(Bench, "indexed", "running_tasks",
           static_cast<double>(Fleet.taskCount()));
@@ -477,9 +478,16 @@
     print(Bench, "indexed", "bytes_per_task",
           static_cast<double>(Fleet.bytes()) /
               static_cast<double>(Fleet.taskCount()));
-    print(Bench, "indexed", "examined_mean",
-          static_cast<double>(Examined) / static_cast<double>(Decisions));
-    print(Bench, "indexed", "no_room", static_cast<double>(NoRooms));
+    print(Bench, "indexed", "model_bytes", static_cast<double>(Model.bytes()));
+    print(Bench, "indexed", "history_bytes",
+          static_cast<double>(historyBytes()));
+
+    // Until nothing more fits, so that decisions refuse or evict.
+    constexpr std::size_t RefusalsWhenFull = 100;
+    std::size_t Refused = 0;
+    for (std::size_t I = 0; Refused < RefusalsWhenFull; ++I)
+      Refused = fill(I) ? 0 : Refused + 1;
+    measureIndexed(Bench, "indexed-full");
   }
 
 private:
@@ -496,11 +504,45 @@
     return Spec;
   }
 
-  void fill(std::size_t I) {
+  void learnNoise() {
+    constexpr std::size_t Kinds = 60;
+    for (std::size_t Victim = 0; Victim < Kinds; ++Victim)
+      for (std::size_t Loud = 7; Loud < Kinds; Loud += 20) {
+        interference::Neighbour Beside{TaskIndex(0), KindIndex(Loud), 1, true};
+        Model.observe(KindIndex(Victim), interference::LoadBand::Middle,
+                      {&Beside, 1}, 1.3, TimePoint{});
+      }
+  }
+
+  std::size_t historyBytes() const {
+    interference::ColocationHistory History(Millis(30000));
+    for (std::size_t Vm = 0; Vm < Vms; ++Vm)
+      Fleet.eachTask(VmIndex(Vm), [&](TaskIndex Task, const TaskState &Of) {
+        History.enter(VmIndex(Vm), Task, Of.Kind, TimePoint{});
+      });
+    return History.bytes();
+  }
+
+  bool fill(std::size_t I) {
     TaskSpec Spec = make(I);
     auto Found = Chooser.place({Spec}, Fleet, TimePoint{});
-    if (auto *At = std::get_if<Placement>(&Found))
+    auto *At = std::get_if<Placement>(&Found);
+    if (At != nullptr)
       Fleet.start(Spec, At->Vm, At->Held, TimePoint{});
+    return At != nullptr;
+  }
+
+  void measureIndexed(const std::string &Bench, const char *Variant) {
+    Decisions = 0;
+    Examined = 0;
+    NoRooms = 0;
+    Evicting = 0;
+    time(Bench, Variant, [&](const TaskSpec &Spec) { placeAndStop(Spec); });
+    auto All = static_cast<double>(Decisions);
+    print(Bench, Variant, "examined_mean", static_cast<double>(Examined) / All);
+    print(Bench, Variant, "refused_share", static_cast<double>(NoRooms) / All);
+    print(Bench, Variant, "evicting_share",
+          static_cast<double>(Evicting) / All);
   }
 
   void placeAndStop(const TaskSpec &Spec) {
@@ -514,6 +556,7 @@
       Fleet.stop(Fleet.start(Spec, At->Vm, At->Held, TimePoint{}));
     } else if (auto *After = std::get_if<PlacementAfterEviction>(&Found)) {
       Examined += After->Why.Examined;
+      ++Evicting;
     } else {
       Examined += std::get<NoRoom>(Found).Why.Examined;
       ++NoRooms;
@@ -555,7 +598,9 @@
   FleetView Fleet;
   UsageEstimator Usage;
   UrgentReserve Reserve;
-  Placer Chooser{{}, Usage, Reserve, nullptr, nullptr};
+  interference::InterferenceModel Model;
+  Placer Chooser{{}, Usage, Reserve, &Model, nullptr};
+  std::size_t Evicting = 0;
   std::size_t Decisions = 0;
   std::size_t NoRooms = 0;
   std::size_t Examined = 0;
