--- a/bench/SimScheduler.h
+++ b/bench/SimScheduler.h
@@ -21,6 +21,10 @@
   NoisePolicy Noise = NoisePolicy::Learned;
   bool Evidence = true;
   bool Quota = true;
+  /// Keeps room free for urgent starts.
+  bool Reserve = true;
+  /// Uses learned sizes, and lends what services do not use.
+  bool Lending = true;
 };
 
 inline constexpr std::size_t TeamCount = 74;
@@ -44,7 +48,8 @@
   PlacementRules Rules;
 
   explicit SimScheduler(Policy How)
-      : How(std::move(How)), Ledger(sizeOf(1, 1)),
+      : How(std::move(How)), Reserve(reserveOptions(this->How)),
+        Ledger(sizeOf(1, 1)),
         Chooser({}, Usage, Reserve,
                 this->How.Noise == NoisePolicy::Learned ? &Model : nullptr,
                 this->How.Quota ? &Ledger : nullptr) {
@@ -55,6 +60,7 @@
   std::size_t submit(FakeTask Task, TimePoint Now) {
     bool Urgent = Task.Spec.Class != TaskClass::Batch;
     std::size_t Team = Task.Spec.Team.index();
+    Task.Spec.Reclaimable = Task.Spec.Reclaimable && How.Lending;
     std::size_t Id = Fleet.submit(std::move(Task), Now);
     if (Urgent)
       Urgents.push_back(Id);
@@ -137,7 +143,14 @@
     bool Innocent;
   };
 
-  bool reclaims() const { return !How.FirstFit; }
+  static UrgentReserve::Options reserveOptions(const Policy &How) {
+    UrgentReserve::Options Made;
+    if (!How.Reserve) {
+      Made.MinSlots = 0;
+      Made.MaxShare = 0;
+    }
+    return Made;
+  }
 
   void again(std::size_t Id) {
     FakeTask &Of = Fleet.Tasks[Id];
@@ -194,8 +207,8 @@
     }
 
     Evidence.setWorkerCount(static_cast<std::uint32_t>(Fleet.View.vmCount()));
-    auto Found =
-        Evidence.record({TaskIndex(End.Id), Of.Job, End.Worker, End.How}, Now);
+    auto Found = Evidence.record(
+        {evidence::TaskHandle(End.Id), Of.Job, End.Worker, End.How}, Now);
     Of.Avoid = Found.Avoid;
     close(Found);
     if (End.How == Outcome::Succeeded)
@@ -323,7 +336,7 @@
   /// their processors back when there is room.
   void learnUsage(TimePoint Now) {
     LastUsage = Now;
-    if (!reclaims())
+    if (How.FirstFit)
       return;
     BatchCapacity = Fleet.View.openCapacity() - servicesHeld();
     Ledger.setFleet(BatchCapacity);
@@ -333,8 +346,10 @@
         continue;
       if (How.Evidence && !Of.Avoid.empty() &&
           Now - Of.RunsFrom >= std::chrono::seconds(5))
-        close(Evidence.outlived(TaskIndex(Id), Fleet.View.task(Of.Index).Vm,
-                                Now));
+        close(Evidence.outlived(evidence::TaskHandle(Id),
+                                Fleet.View.task(Of.Index).Vm, Now));
+      if (!How.Lending)
+        continue;
       Usage.observe(Of.Spec.Kind, Of.Spec.Declared, Fleet.used(Id));
       if (!Of.Throttled)
         adjust(Id, Now);
--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -219,6 +219,10 @@
     Made.Noise = NoisePolicy::EvictLargest;
   if (Name == "no-evidence")
     Made.Evidence = false;
+  if (Name == "no-reserve")
+    Made.Reserve = false;
+  if (Name == "no-lending")
+    Made.Lending = false;
   if (Name == "no-quota")
     Made.Quota = false;
   return Made;
@@ -270,10 +274,17 @@
 const std::vector<std::string> PlacementBaselines{"daisyspool", "firstfit",
                                                   "firstfit-preempt"};
 
+/// Prints variants that lack one part. They are no baselines of a target.
+void withoutParts(const std::string &Bench, const Workload &Load) {
+  for (const char *Name : {"no-reserve", "no-lending"})
+    print(Bench, Name, run(Load, variant(Name)));
+}
+
 void steady() {
   Workload Voicematch;
   compareToBest("steady_voicematch",
                 compare("steady_voicematch", Voicematch, PlacementBaselines));
+  withoutParts("steady_voicematch", Voicematch);
 
   Workload Schulweg;
   Schulweg.Domains = 4;
@@ -410,6 +421,7 @@
   };
   compareToBest("urgent_burst",
                 compare("urgent_burst", Load, PlacementBaselines));
+  withoutParts("urgent_burst", Load);
 }
 
 /// One team floods the fleet with ten times what it can run. The others submit
--- a/include/daisyspool/evidence/EvidenceTable.h
+++ b/include/daisyspool/evidence/EvidenceTable.h
@@ -14,9 +14,12 @@
 
 namespace daisyspool::evidence {
 
-using placement::TaskIndex;
 using placement::VmIndex;
 
+/// A task through all its attempts, unlike placement::TaskIndex, which stands
+/// for one running attempt and is used again.
+using TaskHandle = placement::Handle<struct TaskHandleTag, std::uint32_t>;
+
 /// Tasks submitted together.
 using JobIndex = placement::Handle<struct JobIndexTag, std::uint32_t>;
 
@@ -24,7 +27,7 @@
 
 /// The end of one attempt. Evictions are not evidence and are not recorded.
 struct AttemptEnd {
-  TaskIndex Task;
+  TaskHandle Task;
   JobIndex Job;
   VmIndex Worker;
   Outcome How = Outcome::Succeeded;
@@ -107,7 +110,7 @@
   /// Notes that a task that failed before runs on \p Worker for longer than
   /// its failures took, which shows much earlier than its success that the
   /// other workers were at fault. May be repeated.
-  Finding outlived(TaskIndex Task, VmIndex Worker, TimePoint Now);
+  Finding outlived(TaskHandle Task, VmIndex Worker, TimePoint Now);
 
   /// Failures of the job's tasks from now on are the effect of cancelling.
   void cancelJob(JobIndex Job);
@@ -127,7 +130,7 @@
   static constexpr std::size_t Remembered = 8;
   /// A failure of a task that, or whose sibling, does well on another worker.
   struct FailureNote {
-    TaskIndex Task;
+    TaskHandle Task;
     JobIndex Job;
   };
   struct WorkerNotes {
@@ -165,16 +168,16 @@
   void onSuccess(const AttemptEnd &Ended, TimePoint Now, Finding &Found);
   void onFailure(const AttemptEnd &Ended, TimePoint Now, Finding &Found);
   std::optional<TaskEnd> endOf(const TaskNotes &Of, JobNotes &Job);
-  void blame(const TaskNotes &Of, TaskIndex Task, VmIndex DoesWellOn,
+  void blame(const TaskNotes &Of, TaskHandle Task, VmIndex DoesWellOn,
              TimePoint Now, Finding &Found);
-  void addNote(VmIndex Of, TaskIndex Task, JobIndex Job);
+  void addNote(VmIndex Of, TaskHandle Task, JobIndex Job);
   void judgeWorker(VmIndex Of, TimePoint Now, Finding &Found);
 
   Options Config;
   std::uint32_t Workers = 0;
   std::size_t InQuarantine = 0;
   std::vector<WorkerNotes> Notes;
-  std::unordered_map<TaskIndex, TaskNotes> Tasks;
+  std::unordered_map<TaskHandle, TaskNotes> Tasks;
   std::unordered_map<JobIndex, JobNotes> Jobs;
 };
 
--- a/include/daisyspool/placement/Handles.h
+++ b/include/daisyspool/placement/Handles.h
@@ -32,6 +32,7 @@
 };
 
 using VmIndex = Handle<struct VmIndexTag, std::uint32_t>;
+/// One running attempt of a task; used again after it stopped.
 using TaskIndex = Handle<struct TaskIndexTag, std::uint32_t>;
 /// Tasks that a spread rule counts together: a service or a job.
 using GroupIndex = Handle<struct GroupIndexTag, std::uint32_t>;
--- a/src/evidence/EvidenceTable.cpp
+++ b/src/evidence/EvidenceTable.cpp
@@ -61,7 +61,8 @@
   Tasks.erase(Known);
 }
 
-Finding EvidenceTable::outlived(TaskIndex Task, VmIndex Worker, TimePoint Now) {
+Finding EvidenceTable::outlived(TaskHandle Task, VmIndex Worker,
+                                TimePoint Now) {
   Finding Found;
   auto Known = Tasks.find(Task);
   if (Known != Tasks.end())
@@ -71,7 +72,7 @@
 }
 
 /// Notes a task's failures against the workers where they happened.
-void EvidenceTable::blame(const TaskNotes &Of, TaskIndex Task,
+void EvidenceTable::blame(const TaskNotes &Of, TaskHandle Task,
                           VmIndex DoesWellOn, TimePoint Now, Finding &Found) {
   for (VmIndex Each : Of.FailedOn) {
     if (Each == DoesWellOn)
@@ -81,7 +82,7 @@
   }
 }
 
-void EvidenceTable::addNote(VmIndex Of, TaskIndex Task, JobIndex Job) {
+void EvidenceTable::addNote(VmIndex Of, TaskHandle Task, JobIndex Job) {
   WorkerNotes &At = worker(Of);
   bool Known =
       std::any_of(At.Failures.begin(), At.Failures.end(),
--- a/tests/evidence/EvidenceTableTest.cpp
+++ b/tests/evidence/EvidenceTableTest.cpp
@@ -10,7 +10,7 @@
 
 AttemptEnd end(std::size_t Task, std::size_t Job, std::size_t Worker,
                Outcome How) {
-  return {TaskIndex(Task), JobIndex(Job), VmIndex(Worker), How};
+  return {TaskHandle(Task), JobIndex(Job), VmIndex(Worker), How};
 }
 
 /// Workers 0 to 9, each of which has run a task of job 99.
@@ -77,7 +77,7 @@
     Table.record(end(10 + I, 1 + I % 2, 7, Outcome::Failed), {});
   for (std::size_t I = 0; I < 3; ++I)
     Found +=
-        Table.outlived(TaskIndex(10 + I), VmIndex(I), {}).Quarantined.size();
+        Table.outlived(TaskHandle(10 + I), VmIndex(I), {}).Quarantined.size();
   REQUIRE(Found == 1);
   REQUIRE(Table.quarantined(VmIndex(7)));
 }
