--- a/tests/config/ConfigStoreTest.cpp
+++ b/tests/config/ConfigStoreTest.cpp
@@ -47,6 +47,7 @@
   const ConfigDocument Base = Store.load();
   SECTION("the answer is lost") { Rows.LoseAnswers = 1; }
   SECTION("the request is lost") { Rows.LoseRequests = 2; }
+  SECTION("the request is late") { Rows.DelayRequests = 1; }
 
   const auto First =
       Store.propose(Base, with(Base, "team/a", "1"), origin("one"));
--- a/tests/config/MemoryRows.h
+++ b/tests/config/MemoryRows.h
@@ -18,6 +18,9 @@
   unsigned LoseAnswers = 0;
   /// Commits that are lost before they take effect.
   unsigned LoseRequests = 0;
+  /// Commits that take effect only just before the next one, which the store
+  /// does not recognise as a repeat because the token has expired.
+  unsigned DelayRequests = 0;
   bool Down = false;
   std::uint64_t Commits = 0;
   std::uint64_t Reads = 0;
@@ -49,6 +52,14 @@
     if (auto Race = std::exchange(BeforeCommit, {}))
       Race();
     requireUp();
+    if (auto Late = std::exchange(Delayed, std::nullopt)) {
+      apply(*Late);
+      Tokens.clear();
+    }
+    if (DelayRequests != 0 && DelayRequests-- != 0) {
+      Delayed = Writes;
+      throw PlatformUnavailable("request late");
+    }
     if (LoseRequests != 0 && LoseRequests-- != 0)
       throw PlatformUnavailable("request lost");
     if (!Tokens.count(Writes.Token))
@@ -88,6 +99,7 @@
 
   std::map<RowKey, Row> Rows;
   std::set<std::string> Tokens;
+  std::optional<Transaction> Delayed;
 };
 
 } // namespace daisyspool
--- a/tests/membership/SwimProtocolTest.cpp
+++ b/tests/membership/SwimProtocolTest.cpp
@@ -59,7 +59,12 @@
     Sim.add();
   Sim.introduceAll();
   Sim.run(Millis(5000));
+  // The process is paused while it suspects members.
+  Sim.Cut = [](std::uint64_t, std::uint64_t) { return true; };
+  Sim.run(Millis(3500));
+  REQUIRE(Sim.Nodes[4].Machine->counters().Suspected > 0);
   Sim.Nodes[4].Paused = true;
+  Sim.Cut = nullptr;
   Sim.run(Millis(120000));
   const auto DeadBefore = Sim.Nodes[4].Machine->counters().DeclaredDead;
   Sim.Nodes[4].Paused = false;
