Write and show the record of what ran

Cause: short requests left no durable record and operators could not read it.

Change: the served-log duty appends answered idempotent requests once a second to a log of the entry's own; the commands record and verify-record read all logs.

Conclusion: records of short requests written by a dead entry within its last second are lost; the agent does not yet keep them.

--- a/include/daisyspool/admin/AdminPort.h
+++ b/include/daisyspool/admin/AdminPort.h
@@ -3,6 +3,7 @@
 
 #include "daisyspool/admin/ConfigDuty.h"
 #include "daisyspool/admin/OperatorKeys.h"
+#include "daisyspool/entry/ServedLogDuty.h"
 #include "daisyspool/gossip/GossipDuty.h"
 #include "daisyspool/http/Server.h"
 #include "daisyspool/telemetry/Metrics.h"
@@ -30,7 +31,7 @@
 
   AdminPort(boost::asio::io_context &Io, http::Endpoint Listen,
             OperatorKeys Keys, Metrics &Values, GossipDuty &Gossip,
-            ConfigDuty &Config, StatusSource Requests);
+            ConfigDuty &Config, ServedLogDuty &Record, StatusSource Requests);
   AdminPort(const AdminPort &) = delete;
   AdminPort &operator=(const AdminPort &) = delete;
 
@@ -39,6 +40,7 @@
 
   void handle(http::Request Received, ExchangePtr Answer);
   void status(const ExchangePtr &Answer);
+  void showRecord(const http::Request &Received, const ExchangePtr &Answer);
   void showConfig(const ExchangePtr &Answer);
   void changeConfig(const http::Request &Received, const OperatorIdentity &Who,
                     const ExchangePtr &Answer);
@@ -50,6 +52,7 @@
   Metrics &Values;
   GossipDuty &Gossip;
   ConfigDuty &Config;
+  ServedLogDuty &Record;
   StatusSource Requests;
   http::Server Port;
 };
--- a/include/daisyspool/admin/Commands.h
+++ b/include/daisyspool/admin/Commands.h
@@ -27,6 +27,14 @@
 /// Shows the configuration in force.
 int showConfig(const CommandTarget &Where);
 
+/// Shows the record's lines of a request, a caller, or both if given.
+int showRecord(const CommandTarget &Where, const std::string &Request,
+               const std::string &Caller);
+
+/// Checks that no line of the record is missing, repeated or altered. Returns
+/// 1 if one is.
+int verifyRecord(const CommandTarget &Where);
+
 /// Shows members, shards and requests.
 int showStatus(const CommandTarget &Where);
 
--- a/include/daisyspool/entry/RequestFlow.h
+++ b/include/daisyspool/entry/RequestFlow.h
@@ -12,6 +12,7 @@
 #include "daisyspool/routing/RetryBudget.h"
 #include "daisyspool/routing/Router.h"
 #include "daisyspool/telemetry/Spans.h"
+#include "daisyspool/transport/Inbox.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -76,6 +77,12 @@
   /// The caller left; the answer is not wanted any more.
   void cancel(std::uint64_t Key);
 
+  /// Passes the record of each answered idempotent request to \p Log. Claims
+  /// and jobs are on record in their shard.
+  void recordTo(std::shared_ptr<Inbox<ServedRequest>> Log) {
+    Record = std::move(Log);
+  }
+
   /// Events of the TargetPool.
   void onTargetUp(const PooledTarget &Target);
   void onTargetDown(const PooledTarget &Target);
@@ -115,6 +122,7 @@
   void finishProblem(const FlightPtr &Which, int Status, std::string Type,
                      const std::string &Detail, Execution Executed);
   void finish(const FlightPtr &Which, FlowResult Result);
+  void recordRun(const Flight &Which, const FlowResult &Result);
   void recordSpan(const Flight &Which, const FlowResult &Result);
   LoadReport toReport(const wire::TargetLoad &Load) const;
 
@@ -131,6 +139,7 @@
   std::map<ServiceId, std::unique_ptr<Service>> Services;
   std::unordered_map<std::uint64_t, FlightPtr> Flights;
   std::unordered_map<std::uint64_t, FlightPtr> ByAttempt;
+  std::shared_ptr<Inbox<ServedRequest>> Record;
   std::uint64_t NextKey = 1;
 };
 
--- a/src/admin/AdminPort.cpp
+++ b/src/admin/AdminPort.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <cstdlib>
 #include <utility>
 
 namespace daisyspool {
@@ -33,6 +34,20 @@
   return ConfigVersion(Number);
 }
 
+/// The value of \p Name in the query of \p Target. Values are names without
+/// escapes.
+std::optional<std::string> queryParameter(const std::string &Target,
+                                          const std::string &Name) {
+  for (const char *Lead : {"?", "&"}) {
+    std::size_t At = Target.find(Lead + Name + "=");
+    if (At == std::string::npos)
+      continue;
+    std::size_t Start = At + Name.size() + 2;
+    return Target.substr(Start, Target.find('&', Start) - Start);
+  }
+  return std::nullopt;
+}
+
 nlohmann::json describeMembers(const GossipStatus &Of) {
   nlohmann::json Result = nlohmann::json::array();
   for (const Member &Each : Of.Members)
@@ -60,9 +75,10 @@
 
 AdminPort::AdminPort(boost::asio::io_context &Io, http::Endpoint Listen,
                      OperatorKeys Keys, Metrics &Values, GossipDuty &Gossip,
-                     ConfigDuty &Config, StatusSource Requests)
+                     ConfigDuty &Config, ServedLogDuty &Record,
+                     StatusSource Requests)
     : Io(Io), Keys(std::move(Keys)), Values(Values), Gossip(Gossip),
-      Config(Config), Requests(std::move(Requests)),
+      Config(Config), Record(Record), Requests(std::move(Requests)),
       Port(Io, portOptions(std::move(Listen)),
            [this](http::Request Received, ExchangePtr Answer) {
              handle(std::move(Received), std::move(Answer));
@@ -95,6 +111,11 @@
   if (Path == "/v1/config" && Received.Method == "PUT")
     return changeConfig(Received, *Who, Answer);
 
+  if (Path == "/v1/record" && Received.Method == "GET")
+    return showRecord(Received, Answer);
+  if (Path == "/v1/record/verify" && Received.Method == "GET")
+    return Record.verify(answerLater(Answer));
+
   Answer->respond(http::toResponse(
       {404, "not-found", "No such resource on the operators' port", {}}));
 }
@@ -112,6 +133,19 @@
   });
 }
 
+void AdminPort::showRecord(const http::Request &Received,
+                           const ExchangePtr &Answer) {
+  RecordQuery What;
+  What.Request = queryParameter(Received.Target, "request");
+  if (auto Caller = queryParameter(Received.Target, "caller"))
+    What.Caller = CallerId(*Caller);
+  if (auto From = queryParameter(Received.Target, "from"))
+    What.From = WallMillis(std::strtoll(From->c_str(), nullptr, 10));
+  if (auto To = queryParameter(Received.Target, "to"))
+    What.To = WallMillis(std::strtoll(To->c_str(), nullptr, 10));
+  Record.query(std::move(What), answerLater(Answer));
+}
+
 void AdminPort::showConfig(const ExchangePtr &Answer) {
   Gossip.status([Send = answerLater(Answer)](const GossipStatus &Now) {
     std::string Tag = "\"" + std::to_string(Now.Version.value()) + "\"";
--- a/src/admin/Commands.cpp
+++ b/src/admin/Commands.cpp
@@ -121,6 +121,55 @@
   return 0;
 }
 
+int showRecord(const CommandTarget &Where, const std::string &Request,
+               const std::string &Caller) {
+  std::string Path = "/v1/record?";
+  if (!Request.empty())
+    Path += "request=" + Request + "&";
+  if (!Caller.empty())
+    Path += "caller=" + Caller;
+  http::Response Answer = call(Where, {"GET", Path, {}, {}});
+  if (Answer.Status != 200)
+    return reportProblem(Answer);
+  if (Where.Json) {
+    std::cout << Answer.Body << '\n';
+    return 0;
+  }
+
+  nlohmann::json Document = parseAnswer(Answer);
+  for (const auto &Each : Document["lines"])
+    std::cout << "at=" << Each["at"] << " log=" << Each.value("log", "")
+              << " sequence=" << Each["sequence"]
+              << " caller=" << Each.value("caller", "")
+              << " request=" << Each.value("request", "")
+              << " what=" << Each.value("what", "")
+              << " detail=" << Each.value("detail", "")
+              << " vm=" << Each.value("vm", "") << '\n';
+  if (!Document["complete"].get<bool>())
+    std::cout << "more lines exist; narrow the query\n";
+  return 0;
+}
+
+int verifyRecord(const CommandTarget &Where) {
+  http::Response Answer = call(Where, {"GET", "/v1/record/verify", {}, {}});
+  if (Answer.Status != 200)
+    return reportProblem(Answer);
+
+  bool Damaged = false;
+  nlohmann::json Document = parseAnswer(Answer);
+  for (const auto &Each : Document["logs"]) {
+    std::cout << "log=" << Each.value("log", "")
+              << " entries=" << Each["entries"]
+              << " findings=" << Each["findings"].size() << '\n';
+    for (const auto &Finding : Each["findings"]) {
+      Damaged = true;
+      std::cout << "  " << Finding.value("damage", "") << " at sequence "
+                << Finding["sequence"] << '\n';
+    }
+  }
+  return Damaged ? ExitFailed : 0;
+}
+
 int showStatus(const CommandTarget &Where) {
   http::Response Answer = call(Where, {"GET", "/v1/status", {}, {}});
   if (Answer.Status != 200)
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -19,6 +19,8 @@
 ABSL_FLAG(std::string, config, "", "apply: directory of the configuration");
 ABSL_FLAG(std::string, change_id, "",
           "apply: id of the change; a repeat under the same id has no effect");
+ABSL_FLAG(std::string, request, "", "record: id of a request or job");
+ABSL_FLAG(std::string, caller, "", "record: name of a caller");
 ABSL_FLAG(bool, dry_run, false, "apply: only check and show the difference");
 ABSL_FLAG(std::string, operator_name, "anonymous", "name of the operator");
 ABSL_FLAG(std::string, key_file, "", "file with the operator's key");
@@ -41,6 +43,10 @@
                                          accept a configuration
   daisyspool config --entry ADDRESS:PORT show the configuration in force
   daisyspool status --entry ADDRESS:PORT show members, shards and requests
+  daisyspool record --entry ADDRESS:PORT [--request ID] [--caller ID]
+                                         show the record of what ran
+  daisyspool verify-record --entry ADDRESS:PORT
+                                         check that the record is complete
   daisyspool check-config --role entry|agent --settings FILE
                                          check settings without starting
 
@@ -112,6 +118,12 @@
       {"apply", applyCommand},
       {"config", [] { return showConfig(commandTarget()); }},
       {"status", [] { return showStatus(commandTarget()); }},
+      {"record",
+       [] {
+         return showRecord(commandTarget(), absl::GetFlag(FLAGS_request),
+                           absl::GetFlag(FLAGS_caller));
+       }},
+      {"verify-record", [] { return verifyRecord(commandTarget()); }},
       {"check-config", checkConfig}};
   auto Chosen = Commands.find(Rest.size() == 2 ? Rest[1] : "");
   if (Chosen == Commands.end()) {
--- a/src/entry/EntryProcess.cpp
+++ b/src/entry/EntryProcess.cpp
@@ -5,6 +5,7 @@
 #include "daisyspool/entry/PeerLinks.h"
 #include "daisyspool/entry/RequestFlow.h"
 #include "daisyspool/entry/RequestMetrics.h"
+#include "daisyspool/entry/ServedLogDuty.h"
 #include "daisyspool/entry/ShardGateway.h"
 #include "daisyspool/entry/TargetPool.h"
 #include "daisyspool/gossip/GossipDuty.h"
@@ -107,6 +108,11 @@
     asio::post(Io, [this, Done = std::move(Done)] { Done(describe()); });
   }
 
+  /// Sends the record of each answered request to \p Log from now on.
+  void recordTo(std::shared_ptr<Inbox<ServedRequest>> Log) {
+    Flow.recordTo(std::move(Log));
+  }
+
   std::vector<asio::io_context *> shardContexts() {
     return Shards.shardContexts();
   }
@@ -238,9 +244,16 @@
       ConfigIo, {processLife(Settings, Number), Settings.Gossip},
       std::make_unique<DynamoTable>(DynamoTable::Options{Settings.Table}, Time),
       Gossip);
+  asio::io_context RecordIo(1);
+  ServedLogDuty Record(
+      RecordIo, Time, {processLife(Settings, Number), Settings.Shards},
+      std::make_unique<DynamoTable>(DynamoTable::Options{Settings.Table}, Time),
+      std::make_unique<S3Objects>(S3Objects::Options{Settings.Objects}, Time));
+  Requests.recordTo(Record.input());
   AdminPort Operators(OperatorIo, Settings.Operators,
                       OperatorKeys(Settings.OperatorKeys), Values, Gossip,
-                      Config, [&](std::function<void(std::string)> Done) {
+                      Config, Record,
+                      [&](std::function<void(std::string)> Done) {
                         Requests.status(std::move(Done));
                       });
 
@@ -259,6 +272,13 @@
       "gossip", [&] { GossipIo.run(); }, [&] { GossipIo.stop(); });
   Duties.add(
       "config", [&] { runForever(ConfigIo); }, [&] { ConfigIo.stop(); });
+  Duties.add(
+      "record",
+      [&] {
+        RecordIo.run();
+        Record.flush();
+      },
+      [&] { RecordIo.stop(); });
   Duties.add(
       "operators", [&] { OperatorIo.run(); }, [&] { OperatorIo.stop(); });
   LogEvent(LogLevel::Info, "entry_started")
--- a/src/entry/RequestFlow.cpp
+++ b/src/entry/RequestFlow.cpp
@@ -542,12 +542,35 @@
   releaseAttempt(Which);
   Flights.erase(Which->Key);
   recordSpan(*Which, Result);
+  recordRun(*Which, Result);
   if (auto OnDone = std::exchange(Which->OnDone, nullptr))
     OnDone(std::move(Result));
   if (Which->In != nullptr)
     pump(*Which->In);
 }
 
+void RequestFlow::recordRun(const Flight &Which, const FlowResult &Result) {
+  // What was surely not run is no part of the record of what ran.
+  bool NotRun = Result.Problem && Result.Problem->Executed == Execution::NotRun;
+  if (!Record || !Which.What.Idempotent || NotRun)
+    return;
+
+  ServedRequest Line;
+  Line.Request = Which.What.Id;
+  Line.Caller = Which.What.Caller;
+  Line.Service = Which.What.Service;
+  if (PooledTarget *Target = Pool.find(Which.SentTo))
+    Line.Vm = Target->About.Vm;
+  Duration Took = Time.now() - Which.Arrived;
+  Line.StartedAtMillis =
+      (Time.wallNow() - std::chrono::duration_cast<WallMillis>(Took)).count();
+  Line.MicrosTaken =
+      std::chrono::duration_cast<std::chrono::microseconds>(Took).count();
+  Line.Status = Result.Answer ? Result.Answer->Status : Result.Problem->Status;
+  if (!Record->tryPush(Line))
+    LogEvent(LogLevel::Error, "record_dropped").with("request", Which.What.Id);
+}
+
 void RequestFlow::recordSpan(const Flight &Which, const FlowResult &Result) {
   if (!Which.What.Trace.Sampled)
     return;
