Look at all live tasks less often and send stops at once

Change: the scan runs every 2 s; stops of cancelled and evicted tasks are sent when they are decided, and the scan repeats only what got lost.

--- a/include/daisyspool/jobs/ShardOwner.h
+++ b/include/daisyspool/jobs/ShardOwner.h
@@ -82,8 +82,9 @@
   Duration ShardLease = Millis(6000);
   Duration AppendEvery = Millis(100);
   Duration SnapshotEvery = Millis(10'000);
-  /// Pace of repeated orders and of reads of the head by a candidate.
-  Duration RepeatEvery = Millis(500);
+  /// Pace of repeated orders, which looks at every live task, and of reads of
+  /// the head by a candidate.
+  Duration RepeatEvery = Millis(2000);
   Duration ObserveEvery = Millis(2000);
   /// An agent that is silent about a request is asked at this pace, and the
   /// request is settled as unknown at the limit.
@@ -190,6 +191,7 @@
   void repeatOrders();
   void repeatTaskOrders(const TaskId &Task);
   void chaseClaim(const RequestId &Request);
+  void orderStop(const TaskId &Task);
   void noteEnding(const Event &Change);
   void retire();
   std::vector<Action> release();
--- a/src/jobs/ShardOwner.cpp
+++ b/src/jobs/ShardOwner.cpp
@@ -277,11 +277,21 @@
   if (std::holds_alternative<NotFound>(Result))
     return answer(Message.From, AnswerKind::NotFound);
 
-  if (const auto *New = std::get_if<Proceed>(&Result))
+  if (const auto *New = std::get_if<Proceed>(&Result)) {
     record(New->Events);
+    const std::size_t Tasks = Table.job(Message.Job)->Spec.Tasks.size();
+    for (std::size_t Index = 0; Index < Tasks; ++Index)
+      if (Table.live().count(taskOf(Message.Job, Index)) != 0)
+        orderStop(taskOf(Message.Job, Index));
+  }
   answer(Message.From, AnswerKind::Accepted);
 }
 
+void ShardOwner::orderStop(const TaskId &Task) {
+  const TaskState &State = *Table.task(Task);
+  emit(StopOrder{Shard, Journal.epoch(), Task, State.Attempt, State.Vm});
+}
+
 void ShardOwner::claim(const ClaimForward &Message,
                        const std::optional<AgentGrant> &Grant) {
   if (isRepeat(Message.From))
@@ -409,9 +419,12 @@
   const TaskState &State = *Table.task(Held.Task);
   if (State.Phase == TaskPhase::Intended)
     record({AttemptRunning{Held.Task, Held.Attempt}});
-  if (Held.CheckpointNumber > State.CheckpointNumber)
+  if (Held.CheckpointNumber > State.CheckpointNumber) {
     record({CheckpointTaken{Held.Task, Held.Attempt, Held.Checkpoint,
                             Held.CheckpointNumber}});
+    if (evictionIsReady(Held.Task))
+      orderStop(Held.Task);
+  }
 
   if (Held.State == HeldState::Finished || Held.State == HeldState::Failed) {
     finishAttempt(Held.Task, Held.Attempt,
@@ -502,8 +515,7 @@
     return finishAttempt(Task, State.Attempt, EndReason::Lost);
 
   if (isCancelled(Task) || evictionIsReady(Task))
-    return emit(
-        StopOrder{Shard, Journal.epoch(), Task, State.Attempt, State.Vm});
+    return orderStop(Task);
 
   // The repeat carries the first grant, so that it expires with it.
   auto Grant = StartGrants.find(Task);
