--- a/bench/RequestFleet.h
+++ b/bench/RequestFleet.h
@@ -39,6 +39,9 @@
   std::uint32_t Targets = 11;
   std::uint32_t Slots = 8;
   std::uint32_t Connections = 64;
+  /// The setting of the urgent class. Less of it gives other work more slots
+  /// and lets urgent requests wait more often.
+  double ReserveDeviations = 0.7;
   std::vector<ClassLoad> Classes;
 
   double slots() const { return double(Targets) * Slots; }
--- a/include/daisyspool/admission/AdmissionQueue.h
+++ b/include/daisyspool/admission/AdmissionQueue.h
@@ -40,7 +40,7 @@
 
 struct AdmissionSettings {
   std::array<ClassPolicy, WorkClassCount> Classes{
-      ClassPolicy{0.5, Millis(20), 4096, 1.0},
+      ClassPolicy{0.5, Millis(20), 4096, 0.7},
       ClassPolicy{0.2, Millis(20), 1024, {}},
       ClassPolicy{0.2, Millis(500), 1024, {}},
       ClassPolicy{0.1, Millis(500), 4096, {}}};
