Replay traces of callers' work and run both deployments

Cause: no command showed what callers of the two deployments get during floods and while an entry and a worker die, and `make demo` had no script.

Change: the module replay parses a trace and an outcomes file, sends the trace as 32 callers and judges the results; `daisyspool replay` is its command. scripts/demo.sh runs a deployment on loopback, kills one worker's agent and target and one entry, and ends every process that it started.

--- /dev/null
+++ b/include/daisyspool/replay/ReplayCommand.h
@@ -0,0 +1,29 @@
+#ifndef DAISYSPOOL_REPLAY_REPLAYCOMMAND_H
+#define DAISYSPOOL_REPLAY_REPLAYCOMMAND_H
+
+#include <string>
+#include <vector>
+
+namespace daisyspool {
+
+/// The flags of `daisyspool replay`.
+struct ReplayFlags {
+  std::string Trace;
+  std::string Outcomes;
+  std::string Entry;
+  /// Addresses of target stand-ins that report their executions.
+  std::vector<std::string> Executions;
+  /// Files with such reports of targets that ended before the replay did.
+  std::vector<std::string> SavedExecutions;
+};
+
+/// Replays a trace, prints a summary of each group and one line for each
+/// outcome, and returns 0 if all outcomes pass, else 1.
+///
+/// Errors: throws SettingsError for a mistake in a file or flag, and
+/// http::ClientError if a target does not report its executions.
+int runReplay(const ReplayFlags &Flags);
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_REPLAY_REPLAYCOMMAND_H
