--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 #include "daisyspool/admin/Commands.h"
 #include "daisyspool/agent/AgentProcess.h"
 #include "daisyspool/entry/EntryProcess.h"
+#include "daisyspool/replay/ReplayCommand.h"
 #include "daisyspool/settings/settings.h"
 
 #include <absl/flags/flag.h>
@@ -15,7 +16,9 @@
 #include <vector>
 
 ABSL_FLAG(std::string, settings, "", "INI file of the process to run or check");
-ABSL_FLAG(std::string, entry, "", "operators' port of an entry, ADDRESS:PORT");
+ABSL_FLAG(
+    std::string, entry, "",
+    "ADDRESS:PORT of an entry's operators' port; replay: of the balancer");
 ABSL_FLAG(std::string, config, "", "apply: directory of the configuration");
 ABSL_FLAG(std::string, change_id, "",
           "apply: id of the change; a repeat under the same id has no effect");
@@ -27,6 +30,13 @@
 ABSL_FLAG(bool, json, false, "print JSON");
 ABSL_FLAG(std::string, role, "",
           "check-config: which settings the file holds, entry or agent");
+ABSL_FLAG(std::string, trace, "", "replay: JSON lines of the callers' work");
+ABSL_FLAG(std::string, outcomes, "", "replay: JSON lines of what must hold");
+ABSL_FLAG(std::vector<std::string>, executions, {},
+          "replay: ADDRESS:PORT of targets that report their executions, "
+          "separated by commas");
+ABSL_FLAG(std::vector<std::string>, saved_executions, {},
+          "replay: files with such reports, separated by commas");
 
 namespace {
 
@@ -49,6 +59,10 @@
                                          check that the record is complete
   daisyspool check-config --role entry|agent --settings FILE
                                          check settings without starting
+  daisyspool replay --trace FILE --outcomes FILE --entry ADDRESS:PORT
+                    [--executions ADDRESS:PORT,...]
+                    [--saved_executions FILE,...]
+                                         replay callers' work and judge it
 
 The operators' commands call the operators' port of any entry, take the key
 from --key_file, and print JSON with --json.
@@ -107,6 +121,12 @@
   return 0;
 }
 
+int replay() {
+  return runReplay({absl::GetFlag(FLAGS_trace), absl::GetFlag(FLAGS_outcomes),
+                    absl::GetFlag(FLAGS_entry), absl::GetFlag(FLAGS_executions),
+                    absl::GetFlag(FLAGS_saved_executions)});
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -124,7 +144,8 @@
                            absl::GetFlag(FLAGS_caller));
        }},
       {"verify-record", [] { return verifyRecord(commandTarget()); }},
-      {"check-config", checkConfig}};
+      {"check-config", checkConfig},
+      {"replay", replay}};
   auto Chosen = Commands.find(Rest.size() == 2 ? Rest[1] : "");
   if (Chosen == Commands.end()) {
     std::cerr << Usage << '\n';
