Resume a session after the caller's last event

Cause: entries dropped Last-Event-ID, so a stream that was resumed after the death of an entry started again at its first event.

Change: the header of a session travels in ServeRequest and is passed to the target. ServeRequest has one field more, so entries and agents of different builds do not understand each other.

--- a/include/daisyspool/entry/CallerRequest.h
+++ b/include/daisyspool/entry/CallerRequest.h
@@ -41,6 +41,8 @@
   bool Streamed = false;
   Duration Deadline{};
   wire::TraceContext Trace;
+  /// The last event that the caller of a resumed stream has; else empty.
+  std::string LastEvent;
   std::string Method;
   std::string Path;
   std::string Body;
--- a/include/daisyspool/wire/Messages.h
+++ b/include/daisyspool/wire/Messages.h
@@ -59,11 +59,14 @@
   /// Time left to answer, as clocks are not shared.
   Duration Remaining{};
   TraceContext Trace;
+  /// The last event that the caller of a resumed stream has; else empty.
+  std::string LastEvent;
   std::string Method;
   std::string Path;
   std::string Body;
   MSGPACK_DEFINE_ARRAY(Attempt, Receiver, Request, Service, Team, Caller, Class,
-                       Streamed, Remaining, Trace, Method, Path, Body)
+                       Streamed, Remaining, Trace, LastEvent, Method, Path,
+                       Body)
 };
 
 /// How full a target is; carried on every reply, so its cost follows traffic.
--- a/src/agent/TargetFront.cpp
+++ b/src/agent/TargetFront.cpp
@@ -99,6 +99,8 @@
       {"Daisyspool-Class", std::string(toString(What.Class))});
   if (!What.Trace.TraceId.empty())
     Outgoing.Headers.push_back({"traceparent", toTraceParent(What.Trace)});
+  if (!What.LastEvent.empty())
+    Outgoing.Headers.push_back({"Last-Event-ID", What.LastEvent});
   if (Which.Kind == Repeatable::No)
     Outgoing.Headers.push_back({"Idempotency-Key", What.Request.str()});
 
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -107,6 +107,8 @@
     throw BadRequest(400, "bad-header",
                      "A session cannot carry an Idempotency-Key");
 
+  if (Result.Streamed)
+    Result.LastEvent = readName(Received, "Last-Event-ID", "");
   Result.Method = std::move(Received.Method);
   Result.Body = std::move(Received.Body);
   return Result;
--- a/src/entry/RequestFlow.cpp
+++ b/src/entry/RequestFlow.cpp
@@ -188,6 +188,7 @@
   Message.Streamed = What.Streamed;
   Message.Remaining = Which->ExpiresAt - Time.now();
   Message.Trace = {What.Trace.TraceId, Which->SpanId, What.Trace.Sampled};
+  Message.LastEvent = What.LastEvent;
   Message.Method = What.Method;
   Message.Path = What.Path;
   Message.Body = What.Body;
--- a/tests/wire/CodecTest.cpp
+++ b/tests/wire/CodecTest.cpp
@@ -13,6 +13,7 @@
   Request.Request = RequestId("fit-check-1");
   Request.Class = WorkClass::Urgent;
   Request.Remaining = Millis(250);
+  Request.LastEvent = "17";
   Request.Body = std::string("\0binary\xff", 8);
   return {ProcessId("entry-1"), Incarnation(3), ConfigVersion(7), Request};
 }
@@ -30,6 +31,7 @@
   REQUIRE(Request.Attempt == AttemptId(42));
   REQUIRE(Request.Class == WorkClass::Urgent);
   REQUIRE(Request.Remaining == Millis(250));
+  REQUIRE(Request.LastEvent == "17");
   REQUIRE(Request.Body.size() == 8);
 }
 
