--- a/include/daisyspool/entry/ShardGateway.h
+++ b/include/daisyspool/entry/ShardGateway.h
@@ -91,7 +91,6 @@
   void sendNotice(const PooledTarget &To);
   template <typename Order> void sendToVm(const VmId &Vm, const Order &What);
 
-  const Clock &Time;
   Options Config;
   TargetPool &Pool;
   std::map<ShardId, std::unique_ptr<Shard>> Shards;
--- a/src/entry/ShardGateway.cpp
+++ b/src/entry/ShardGateway.cpp
@@ -23,7 +23,7 @@
                            Options Config, TargetPool &Pool,
                            const TableFactory &NewTable,
                            const ObjectFactory &NewObjects)
-    : Time(Time), Config(std::move(Config)), Pool(Pool) {
+    : Config(std::move(Config)), Pool(Pool) {
   for (std::uint64_t Index = 0; Index < this->Config.Shards; ++Index) {
     ShardId Id(Index);
     auto Created = std::make_unique<Shard>();
