Queue requests at the agent by class

The agent's queue was first in, first out, so urgent requests waited behind batch requests of both entries.

Change: the queue is ordered by class, then arrival; a full queue gives up its least urgent request unrun.

Each entry keeps slots free for urgent work in its own view only, so two entries together lend all slots to batch; that is the next cause to check.

--- a/include/daisyspool/agent/TargetFront.h
+++ b/include/daisyspool/agent/TargetFront.h
@@ -88,6 +88,7 @@
   http::Request toTargetRequest(const Attempt &Which) const;
   void finish(const AttemptPtr &Which, wire::ServeReply Answer);
   void fail(const AttemptPtr &Which, const std::exception_ptr &Failure);
+  void enqueue(const AttemptPtr &Which);
   void startQueued();
   void expireQueued();
   void scheduleExpiry();
--- a/src/agent/TargetFront.cpp
+++ b/src/agent/TargetFront.cpp
@@ -53,8 +53,9 @@
     return RefusalReason::DeadlineTooClose;
   if (BusySlots + Streams + Queue.size() >= Config.Connections)
     return RefusalReason::NoFreeSlot;
-  if (!What.Streamed && BusySlots >= Config.Slots &&
-      Queue.size() >= Config.QueueLimit)
+  bool QueueFull = Queue.size() >= Config.QueueLimit;
+  if (!What.Streamed && BusySlots >= Config.Slots && QueueFull &&
+      (Queue.empty() || Queue.back()->What.Class <= What.Class))
     return RefusalReason::NoFreeSlot;
 
   return RefusalReason::None;
@@ -88,7 +89,25 @@
   if (Created->What.Streamed || BusySlots < Config.Slots)
     return start(Created);
 
-  Queue.push_back(Created);
+  enqueue(Created);
+}
+
+/// Queues by class, then by arrival: a long request of another entry must not
+/// stand before an urgent one. A full queue gives up its least urgent attempt.
+void TargetFront::enqueue(const AttemptPtr &Which) {
+  auto Place = std::find_if(Queue.begin(), Queue.end(), [&](const auto &Each) {
+    return Each->What.Class > Which->What.Class;
+  });
+  Queue.insert(Place, Which);
+  if (Queue.size() <= Config.QueueLimit)
+    return;
+
+  AttemptPtr Displaced = Queue.back();
+  Queue.pop_back();
+  wire::ServeReply Refusal;
+  Refusal.Outcome = wire::ServeOutcome::Refused;
+  Refusal.Reason = wire::RefusalReason::NoFreeSlot;
+  finish(Displaced, std::move(Refusal));
 }
 
 http::Request TargetFront::toTargetRequest(const Attempt &Which) const {
