--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 Build=${1:-build}
 Found=0
+bash scripts/capacity-processes.sh "$Build"
 for Program in "$Build"/capacity_*; do
   [ -f "$Program" ] && [ -x "$Program" ] || continue
   Found=1
--- a/src/entry/RequestFlow.cpp
+++ b/src/entry/RequestFlow.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Millis LateCheckInterval{2};
+/// Without requests the check only lets old estimates fade.
+constexpr Millis IdleCheckInterval{100};
 /// Attempts of one request, sends that never left this process included.
 constexpr std::uint32_t MaxAttempts = 6;
 
@@ -94,6 +96,8 @@
   Which->ExpiresAt = Which->Arrived + Which->What.Deadline;
   Which->SpanId = newSpanId(Source);
   Flights.emplace(Which->Key, Which);
+  if (Flights.size() == 1)
+    scheduleDropLate();
 
   auto Found = Services.find(Which->What.Service);
   if (Found == Services.end()) {
@@ -245,7 +249,8 @@
 }
 
 void RequestFlow::scheduleDropLate() {
-  LateTimer.expires_after(LateCheckInterval);
+  LateTimer.expires_after(Flights.empty() ? IdleCheckInterval
+                                          : LateCheckInterval);
   LateTimer.async_wait([this](boost::system::error_code Failure) {
     if (Failure)
       return;
