Name task outcomes in one place and drop unused methods

Cause: the last read of the whole change found toString(TaskOutcome) twice, and RequestFlow::pumpAll and TaskPlacer::couldEverFit called by nothing.

Change: jobs/Events.h has the names; the unused methods are gone.

--- a/include/daisyspool/entry/RequestFlow.h
+++ b/include/daisyspool/entry/RequestFlow.h
@@ -100,7 +100,6 @@
   Service &serviceOf(const ServiceId &Id);
   void offer(const FlightPtr &Which);
   void pump(Service &In);
-  void pumpAll();
   bool dispatch(const FlightPtr &Which, AttemptKind Kind);
   bool sendTo(const FlightPtr &Which, PooledTarget &Target);
   void dropLate();
--- a/include/daisyspool/entry/TaskPlacer.h
+++ b/include/daisyspool/entry/TaskPlacer.h
@@ -39,10 +39,6 @@
   std::optional<VmId> place(const Resources &Need,
                             const std::map<VmId, AgentGrant> &Grants);
 
-  /// Whether some VM of the fleet could hold \p Need if it were empty. True
-  /// while no fleet is known.
-  bool couldEverFit(const Resources &Need) const;
-
 private:
   std::map<VmId, PlaceableVm> Fleet;
   std::map<VmId, Resources> Held;
--- a/include/daisyspool/jobs/Events.h
+++ b/include/daisyspool/jobs/Events.h
@@ -77,6 +77,9 @@
 
 enum class TaskOutcome { Succeeded, AttemptsExhausted, Cancelled, Unrunnable };
 
+/// The name used in the record and in the state of a job.
+const char *toString(TaskOutcome Outcome);
+
 struct TaskEnded {
   TaskId Task;
   TaskOutcome Outcome = TaskOutcome::Succeeded;
--- a/src/entry/RequestFlow.cpp
+++ b/src/entry/RequestFlow.cpp
@@ -243,11 +243,6 @@
   }
 }
 
-void RequestFlow::pumpAll() {
-  for (auto &[Id, Each] : Services)
-    pump(*Each);
-}
-
 void RequestFlow::scheduleDropLate() {
   LateTimer.expires_after(Flights.empty() ? IdleCheckInterval
                                           : LateCheckInterval);
--- a/src/entry/ShardDuty.cpp
+++ b/src/entry/ShardDuty.cpp
@@ -34,20 +34,6 @@
   return "ended";
 }
 
-const char *toString(TaskOutcome Outcome) {
-  switch (Outcome) {
-  case TaskOutcome::Succeeded:
-    return "succeeded";
-  case TaskOutcome::AttemptsExhausted:
-    return "attempts-exhausted";
-  case TaskOutcome::Cancelled:
-    return "cancelled";
-  case TaskOutcome::Unrunnable:
-    return "unrunnable";
-  }
-  return "unrunnable";
-}
-
 JournalSettings journalSettings(Millis Lease) {
   JournalSettings Result;
   Result.Lease = Lease;
--- a/src/entry/TaskPlacer.cpp
+++ b/src/entry/TaskPlacer.cpp
@@ -63,11 +63,4 @@
   return Best;
 }
 
-bool TaskPlacer::couldEverFit(const Resources &Need) const {
-  return Fleet.empty() ||
-         std::any_of(Fleet.begin(), Fleet.end(), [&](const auto &Each) {
-           return Need.fitsIn(Each.second.Capacity);
-         });
-}
-
 } // namespace daisyspool
--- a/src/jobs/Events.cpp
+++ b/src/jobs/Events.cpp
@@ -4,6 +4,20 @@
 
 namespace daisyspool {
 
+const char *toString(TaskOutcome Outcome) {
+  switch (Outcome) {
+  case TaskOutcome::Succeeded:
+    return "succeeded";
+  case TaskOutcome::AttemptsExhausted:
+    return "attempts-exhausted";
+  case TaskOutcome::Cancelled:
+    return "cancelled";
+  case TaskOutcome::Unrunnable:
+    return "unrunnable";
+  }
+  return "unknown";
+}
+
 namespace {
 
 template <std::size_t Index = 0>
--- a/src/record/LineBuilder.cpp
+++ b/src/record/LineBuilder.cpp
@@ -26,20 +26,6 @@
   return "unknown";
 }
 
-const char *toString(TaskOutcome Outcome) {
-  switch (Outcome) {
-  case TaskOutcome::Succeeded:
-    return "succeeded";
-  case TaskOutcome::AttemptsExhausted:
-    return "attempts-exhausted";
-  case TaskOutcome::Cancelled:
-    return "cancelled";
-  case TaskOutcome::Unrunnable:
-    return "unrunnable";
-  }
-  return "unknown";
-}
-
 const char *toString(RequestOutcome Outcome) {
   switch (Outcome) {
   case RequestOutcome::Answered:
