--- /dev/null
+++ b/include/daisyspool/intake/JobIntake.h
@@ -0,0 +1,80 @@
+#ifndef DAISYSPOOL_INTAKE_JOBINTAKE_H
+#define DAISYSPOOL_INTAKE_JOBINTAKE_H
+
+#include "daisyspool/rows/RowStore.h"
+#include "daisyspool/scheduling/JobProgress.h"
+#include "daisyspool/workload/JobDefinition.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <variant>
+
+namespace daisyspool::intake {
+
+/// The job is durable and will run.
+struct Accepted {};
+/// The job is not stored and never will be.
+struct Refused {
+  Millis RetryAfter{1000};
+};
+/// The store did not say whether the job is stored; asking again is safe.
+struct Undecided {};
+using SubmitOutcome = std::variant<Accepted, Refused, Undecided>;
+
+struct Known {
+  scheduling::JobStatus Status = scheduling::JobStatus::Queued;
+};
+/// Certain: the store has no such job.
+struct NoSuchJob {};
+/// The store cannot be asked now.
+struct Unavailable {};
+using StatusOutcome = std::variant<Known, NoSuchJob, Unavailable>;
+
+struct CancelAccepted {};
+using CancelOutcome = std::variant<CancelAccepted, NoSuchJob, Unavailable>;
+
+/// What any entry does for callers, with nothing but the store: accepts jobs,
+/// tells their status and records cancellations. The leader learns of both
+/// through the store, so that no entry depends on another.
+///
+/// Thread safety: call from the I/O thread only; callbacks run there.
+class JobIntake {
+public:
+  JobIntake(boost::asio::io_context &Io, const Clock &Time,
+            rows::RowStore &Store)
+      : Io(Io), Time(Time), Store(Store) {}
+  JobIntake(const JobIntake &) = delete;
+  JobIntake &operator=(const JobIntake &) = delete;
+
+  /// Stores a job. A job with the same id that is stored already counts as
+  /// this one. \p Patience bounds the attempts.
+  void submit(const workload::JobRecord &Job, Millis Patience,
+              std::function<void(SubmitOutcome)> Done);
+
+  void status(const JobId &Job, Millis Patience,
+              std::function<void(StatusOutcome)> Done);
+
+  void cancel(const JobId &Job, Millis Patience,
+              std::function<void(CancelOutcome)> Done);
+
+private:
+  struct Submission;
+  struct Cancellation;
+
+  void attempt(const std::shared_ptr<Submission> &What);
+  void onAttempt(const std::shared_ptr<Submission> &What,
+                 const rows::CommitOutcome &Outcome);
+  void again(const std::shared_ptr<Submission> &What);
+  void readJob(const JobId &Job, Millis Patience,
+               std::function<void(StatusOutcome)> Done);
+  void writeCancel(const std::shared_ptr<Cancellation> &What);
+
+  boost::asio::io_context &Io;
+  const Clock &Time;
+  rows::RowStore &Store;
+};
+
+} // namespace daisyspool::intake
+
+#endif // DAISYSPOOL_INTAKE_JOBINTAKE_H
--- /dev/null
+++ b/include/daisyspool/intake/Layout.h
@@ -0,0 +1,41 @@
+#ifndef DAISYSPOOL_INTAKE_LAYOUT_H
+#define DAISYSPOOL_INTAKE_LAYOUT_H
+
+#include "daisyspool/core/Ids.h"
+#include "daisyspool/rows/RowStore.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace daisyspool::intake {
+
+// The project's rows. Each partition is written one transaction at a time, so
+// what any entry writes is apart from what the leader alone writes.
+
+/// Written by every entry and agent: accepted jobs, cancellations, agents.
+inline constexpr const char *IntakeTable = "intake";
+inline constexpr const char *IntakePartition = "intake";
+
+/// Written by the leader alone, each time under the fence's condition.
+inline constexpr const char *LeaderPartition = "lead";
+inline constexpr const char *ProgressTable = "progress";
+inline constexpr const char *FenceTable = "fence";
+/// Who leads, and what every entry needs to know of it. Followed by entries.
+inline constexpr const char *LeaderTable = "leader";
+
+rows::RowName jobRow(const JobId &Job);
+rows::RowName cancelRow(const JobId &Job);
+rows::RowName agentRow(const VmId &Vm);
+rows::RowName progressRow(const JobId &Job);
+rows::RowName fenceRow();
+rows::RowName leaderRow();
+
+/// The job or VM of a row's key with the given kind, or nothing.
+std::optional<JobId> jobOfKey(std::string_view Key);
+std::optional<JobId> cancelOfKey(std::string_view Key);
+std::optional<VmId> agentOfKey(std::string_view Key);
+
+} // namespace daisyspool::intake
+
+#endif // DAISYSPOOL_INTAKE_LAYOUT_H
--- /dev/null
+++ b/include/daisyspool/leadership/leadership.h
@@ -0,0 +1,15 @@
+// The leadership module: one entry at a time runs the scheduler.
+//
+//   LeaderRecord.h  the fence row and the leader's public status
+//   AgentLinks.h    the leader's conversations with the agents
+//   LeaderDuty.h    follows, takes over, leads
+//
+// See LeaderDuty.h next.
+#ifndef DAISYSPOOL_LEADERSHIP_LEADERSHIP_H
+#define DAISYSPOOL_LEADERSHIP_LEADERSHIP_H
+
+#include "daisyspool/leadership/AgentLinks.h"
+#include "daisyspool/leadership/LeaderDuty.h"
+#include "daisyspool/leadership/LeaderRecord.h"
+
+#endif // DAISYSPOOL_LEADERSHIP_LEADERSHIP_H
--- /dev/null
+++ b/include/daisyspool/rows/RowStore.h
@@ -0,0 +1,123 @@
+#ifndef DAISYSPOOL_ROWS_ROWSTORE_H
+#define DAISYSPOOL_ROWS_ROWSTORE_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/core/Ids.h"
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisyspool::rows {
+
+/// Position of a transaction in the store's single order; 0 is before all.
+using RowVersion = StrongNumber<struct RowVersionTag>;
+
+struct RowName {
+  std::string Table;
+  /// Rows of one transaction share it.
+  std::string Partition;
+  std::string Key;
+
+  auto operator<=>(const RowName &) const = default;
+};
+
+struct StoredRow {
+  RowName Name;
+  std::string Value;
+  RowVersion Version;
+  /// In a feed: the row was removed.
+  bool Removed = false;
+};
+
+/// The version that a row must have; version 0 means that it must not exist.
+struct RowCondition {
+  RowName Name;
+  RowVersion Version;
+};
+
+struct RowValue {
+  RowName Name;
+  std::string Value;
+};
+
+/// Applied whole or not at all. At most 100 entries in all.
+struct RowTransaction {
+  std::vector<RowCondition> Conditions;
+  std::vector<RowValue> Puts;
+  std::vector<RowName> Removes;
+};
+
+struct Committed {
+  RowVersion Version;
+};
+/// A condition did not hold. \p Current has the rows of the conditions that
+/// exist.
+struct Conflict {
+  std::vector<StoredRow> Current;
+};
+/// Nothing changed and nothing will.
+struct NotDone {
+  std::string Detail;
+};
+/// The transaction may have been applied, or may still be applied later if its
+/// conditions hold then.
+struct OutcomeUnknown {
+  std::string Detail;
+};
+using CommitOutcome =
+    std::variant<Committed, Conflict, NotDone, OutcomeUnknown>;
+
+struct RowPage {
+  std::vector<StoredRow> Rows;
+  bool Truncated = false;
+  /// The newest version of the store when the page was read.
+  RowVersion Version;
+};
+struct ReadFailed {
+  std::string Detail;
+};
+/// The store no longer has the changes after the requested version.
+struct HistoryGone {};
+using ReadOutcome = std::variant<RowPage, ReadFailed>;
+using FeedOutcome = std::variant<RowPage, HistoryGone, ReadFailed>;
+
+/// Keys from \p From up to, but without, \p To; an empty \p To has no bound.
+struct RowRange {
+  std::string Table;
+  std::string Partition;
+  std::string From;
+  std::string To;
+};
+
+/// The port to a transactional, linearizable store of rows.
+///
+/// Thread safety: call from the I/O thread; callbacks run there, each exactly
+/// once. Errors are outcomes and never exceptions.
+class RowStore {
+public:
+  RowStore() = default;
+  RowStore(const RowStore &) = delete;
+  RowStore &operator=(const RowStore &) = delete;
+  virtual ~RowStore() = default;
+
+  /// Applies \p What. \p Timeout bounds the wait for an answer, not the effect.
+  virtual void commit(const RowTransaction &What, Millis Timeout,
+                      std::function<void(CommitOutcome)> Done) = 0;
+
+  /// Reads the first rows of \p What in ascending order of keys.
+  virtual void read(const RowRange &What, Millis Timeout,
+                    std::function<void(ReadOutcome)> Done) = 0;
+
+  /// Waits up to \p Wait for changes of \p Table after \p After.
+  virtual void follow(const std::string &Table, RowVersion After, Millis Wait,
+                      std::function<void(FeedOutcome)> Done) = 0;
+};
+
+/// The range that holds exactly the row \p Name.
+RowRange exactly(const RowName &Name);
+
+} // namespace daisyspool::rows
+
+#endif // DAISYSPOOL_ROWS_ROWSTORE_H
--- /dev/null
+++ b/include/daisyspool/rows/TableWatch.h
@@ -0,0 +1,52 @@
+#ifndef DAISYSPOOL_ROWS_TABLEWATCH_H
+#define DAISYSPOOL_ROWS_TABLEWATCH_H
+
+#include "daisyspool/rows/RowStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace daisyspool::rows {
+
+/// Follows one partition of a table: first all rows, then each change.
+///
+/// When the store has dropped the history, all rows are read again; a row may
+/// thus be passed on more than once, but never with an older version. Failed
+/// calls are repeated for as long as the watch lives.
+///
+/// Thread safety: call from the I/O thread only. Destroying the watch ends it.
+class TableWatch {
+public:
+  struct Options {
+    std::string Table;
+    std::string Partition;
+    /// How long one call waits for changes; it bounds how long a connection
+    /// that has gone silent hides them.
+    Millis Wait{1000};
+  };
+  using RowsCallback = std::function<void(std::vector<StoredRow>)>;
+
+  /// Calls \p OnRows with the rows and then with each set of changes; the
+  /// first call may have no rows.
+  TableWatch(boost::asio::io_context &Io, const Clock &Time, RowStore &Store,
+             Options Config, RowsCallback OnRows);
+  TableWatch(const TableWatch &) = delete;
+  TableWatch &operator=(const TableWatch &) = delete;
+  ~TableWatch();
+
+  /// When the store last answered; the epoch before the first answer.
+  TimePoint lastAnswer() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> State;
+};
+
+} // namespace daisyspool::rows
+
+#endif // DAISYSPOOL_ROWS_TABLEWATCH_H
--- /dev/null
+++ b/include/daisyspool/runner/FillPacer.h
@@ -0,0 +1,43 @@
+#ifndef DAISYSPOOL_RUNNER_FILLPACER_H
+#define DAISYSPOOL_RUNNER_FILLPACER_H
+
+#include "daisyspool/core/Clock.h"
+
+#include <cstdint>
+
+namespace daisyspool::runner {
+
+/// Decides at which share of their speed tasks that only fill idle processors
+/// work, from the tail latency of the tasks that serve beside them.
+///
+/// Load pattern: filling batch slows a serving task whose own load swings
+/// within seconds; the tail is a rough figure of the last half second. The
+/// share is halved at once and raised in steps, so that a swing back costs one
+/// figure and not the whole bound of the service.
+///
+/// Thread safety: one thread at a time.
+class FillPacer {
+public:
+  /// \p WorstTail is the largest quotient of tail and target beside the filling
+  /// tasks, 0 if nothing serves there. Returns the share in percent.
+  std::uint32_t update(double WorstTail, TimePoint Now);
+
+  std::uint32_t percent() const { return Percent; }
+
+private:
+  /// The tail is a figure of half a second; an effect shows after that.
+  static constexpr Millis EffectDelay{700};
+  /// Quotients at which the share falls and may rise; the gap keeps a rough
+  /// figure from moving it back and forth.
+  static constexpr double SlowDownAt = 0.8;
+  static constexpr double SpeedUpBelow = 0.55;
+  static constexpr std::uint32_t Step = 20;
+  static constexpr std::uint32_t LeastPercent = 10;
+
+  std::uint32_t Percent = 100;
+  TimePoint LastChange{};
+};
+
+} // namespace daisyspool::runner
+
+#endif // DAISYSPOOL_RUNNER_FILLPACER_H
--- /dev/null
+++ b/include/daisyspool/workload/JobDefinition.h
@@ -0,0 +1,110 @@
+#ifndef DAISYSPOOL_WORKLOAD_JOBDEFINITION_H
+#define DAISYSPOOL_WORKLOAD_JOBDEFINITION_H
+
+#include "daisyspool/core/Clock.h"
+#include "daisyspool/core/Ids.h"
+#include "daisyspool/core/Units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisyspool::workload {
+
+using QueueId = StrongId<struct QueueTag>;
+using ImageId = StrongId<struct ImageTag>;
+using LabelId = StrongId<struct LabelTag>;
+/// Number of a task's start, from 1.
+using RunNumber = StrongNumber<struct RunNumberTag>;
+
+/// A number of equal tasks of a job.
+struct StepDefinition {
+  std::uint32_t Count = 1;
+  Resources Needs;
+  /// The caller's rough estimate of one task's duration.
+  Millis Estimate{0};
+  /// Earlier steps whose tasks must all be done first.
+  std::vector<std::uint32_t> After;
+  LabelId RequiredLabel;
+  /// The rack with the data; other racks take longer.
+  RackId PreferredRack;
+  /// At most this many tasks of one occurrence on one worker; 0 is no limit.
+  std::uint32_t MaxPerVm = 0;
+  bool Checkpoints = false;
+  bool Gang = false;
+  bool SameRack = false;
+  bool Speculative = false;
+  /// Runs until the job is cancelled.
+  bool LongRunning = false;
+  /// Takes processor time that other tasks leave unused, without a claim.
+  bool FillsIdleCpu = false;
+  ImageId Image;
+  /// Tail latency that a serving task must stay below; 0 if it serves nobody.
+  Millis TailTarget{0};
+  /// Tasks that may be unavailable at once by the scheduler's own actions.
+  std::optional<std::uint32_t> MaxUnavailable;
+};
+
+/// Occurrence K is due at First + K * Interval; Times 0 is one immediate run.
+struct Repetition {
+  std::uint32_t Times = 0;
+  WallMillis First{0};
+  Millis Interval{0};
+};
+
+struct JobDefinition {
+  /// Passed to each task unchanged.
+  std::string Spec;
+  std::vector<StepDefinition> Steps;
+  Repetition Repeats;
+};
+
+/// What the configuration says of the jobs of one queue.
+struct QueuePolicy {
+  QueueId Name;
+  ServiceId Service;
+  /// 0 comes first and may preempt others.
+  int Priority = 0;
+  std::uint32_t MaxAttempts = 1;
+  double SlackFactor = 1;
+  Millis LatencyTarget{0};
+};
+
+/// An accepted job as it is stored, with the policy at its acceptance.
+struct JobRecord {
+  JobId Id;
+  QueuePolicy Policy;
+  JobDefinition Definition;
+  WallMillis Accepted{0};
+};
+
+/// Serializes a job for the store.
+///
+/// Thread safety: safe from any thread.
+std::string encodeJob(const JobRecord &Job);
+
+/// The reverse of encodeJob().
+///
+/// Thread safety: safe from any thread. Errors: throws ProtocolError.
+JobRecord decodeJob(std::string_view Bytes);
+
+/// One task of one occurrence of a job.
+struct TaskName {
+  JobId Job;
+  std::uint32_t Occurrence = 0;
+  std::uint32_t Step = 0;
+  std::uint32_t Index = 0;
+
+  auto operator<=>(const TaskName &) const = default;
+};
+
+/// "JOB.OCCURRENCE.STEP.INDEX"
+std::string toString(const TaskName &Name);
+/// The reverse of toString(); nothing if \p Text has another form.
+std::optional<TaskName> parseTaskName(std::string_view Text);
+
+} // namespace daisyspool::workload
+
+#endif // DAISYSPOOL_WORKLOAD_JOBDEFINITION_H
--- /dev/null
+++ b/include/daisyspool/workload/workload.h
@@ -0,0 +1,13 @@
+// The workload module: what callers hand in and operators configure.
+//
+//   JobDefinition.h  jobs, steps, tasks and the policy of their queue
+//   FleetConfig.h    routes and services of one configuration
+//
+// See JobDefinition.h next.
+#ifndef DAISYSPOOL_WORKLOAD_WORKLOAD_H
+#define DAISYSPOOL_WORKLOAD_WORKLOAD_H
+
+#include "daisyspool/workload/FleetConfig.h"
+#include "daisyspool/workload/JobDefinition.h"
+
+#endif // DAISYSPOOL_WORKLOAD_WORKLOAD_H
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,13 +1,16 @@
+#include "Program.h"
 #include "daisyspool/admin/Commands.h"
 #include "daisyspool/agent/AgentProcess.h"
 #include "daisyspool/entry/EntryProcess.h"
 #include "daisyspool/replay/ReplayCommand.h"
+#include "daisyspool/settings/NodeSettings.h"
 #include "daisyspool/settings/settings.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -29,7 +32,7 @@
 ABSL_FLAG(std::string, key_file, "", "file with the operator's key");
 ABSL_FLAG(bool, json, false, "print JSON");
 ABSL_FLAG(std::string, role, "",
-          "check-config: which settings the file holds, entry or agent");
+          "check-config: which settings the file holds: entry, agent or node");
 ABSL_FLAG(std::string, trace, "", "replay: JSON lines of the callers' work");
 ABSL_FLAG(std::string, outcomes, "", "replay: JSON lines of what must hold");
 ABSL_FLAG(std::vector<std::string>, executions, {},
@@ -49,6 +52,10 @@
 
   daisyspool entry --settings FILE       serve callers and operators
   daisyspool agent --settings FILE       front the target on this VM
+  daisyspool fleet-entry [--settings FILE]
+                                         an entry on the operators' platform
+  daisyspool fleet-agent [--settings FILE]
+                                         the agent beside one of its workers
   daisyspool apply --entry ADDRESS:PORT --config DIRECTORY --change_id ID [--dry_run]
                                          accept a configuration
   daisyspool config --entry ADDRESS:PORT show the configuration in force
@@ -80,6 +87,16 @@
       parseAgentSettings(IniFile::load(absl::GetFlag(FLAGS_settings))));
 }
 
+/// Settings of a process on the platform: from --settings, or from the file
+/// that the platform names.
+NodeSettings nodeSettings() {
+  std::string Path = absl::GetFlag(FLAGS_settings);
+  const char *Given = std::getenv("DAISYSPOOL_NODE_FILE");
+  if (Path.empty() && Given != nullptr)
+    Path = Given;
+  return parseNodeSettings(IniFile::load(Path));
+}
+
 CommandTarget commandTarget() {
   auto Entry = http::parseEndpoint(absl::GetFlag(FLAGS_entry));
   if (!Entry)
@@ -108,12 +125,14 @@
 int checkConfig() {
   std::string Path = absl::GetFlag(FLAGS_settings);
   std::string Role = absl::GetFlag(FLAGS_role);
-  if (Role == "entry")
+  if (Role == "node")
+    nodeSettings();
+  else if (Role == "entry")
     parseEntrySettings(IniFile::load(Path));
   else if (Role == "agent")
     parseAgentSettings(IniFile::load(Path));
   else {
-    std::cerr << "check-config: --role entry or --role agent is needed\n";
+    std::cerr << "check-config: --role entry, agent or node is needed\n";
     return ExitUsage;
   }
 
@@ -135,6 +154,8 @@
   const std::map<std::string, std::function<int()>> Commands{
       {"entry", runEntryCommand},
       {"agent", runAgentCommand},
+      {"fleet-entry", [] { return platform::runFleetEntry(nodeSettings()); }},
+      {"fleet-agent", [] { return platform::runFleetAgent(nodeSettings()); }},
       {"apply", applyCommand},
       {"config", [] { return showConfig(commandTarget()); }},
       {"status", [] { return showStatus(commandTarget()); }},
--- /dev/null
+++ b/src/runner/AgentSession.cpp
@@ -0,0 +1,598 @@
+#include "daisyspool/runner/AgentSession.h"
+
+#include "daisyspool/telemetry/Log.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace daisyspool::runner {
+
+namespace {
+
+/// How long a hold waits for an end. Also the age at which the lease is
+/// extended, so a small part of the leader's grant.
+constexpr Millis HoldWait{400};
+/// Pause after a hold that failed, or that answered at once with nothing new.
+constexpr Millis HoldPause{100};
+/// Pause before an order without an answer is repeated.
+constexpr Millis OrderPause{60};
+/// A start that is not settled by then is made impossible instead.
+constexpr Millis StartPatience{1500};
+/// A run needs at least so much of a lease to be worth a start.
+constexpr Millis LeastLease{300};
+/// A worker that declines a start so often in a row is reported.
+constexpr int MaxBusyAnswers = 3;
+/// How far a token is raised when the worker knows a higher one; more than a
+/// clock is expected to be set back.
+constexpr std::uint64_t TokenStep = 60000;
+
+std::uint64_t millisOf(TimePoint When) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(When.time_since_epoch()).count());
+}
+
+template <typename... Handlers> struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+/// One start or stop that is not settled.
+struct AgentSession::Order {
+  explicit Order(boost::asio::io_context &Io) : Timer(Io) {}
+
+  StartOrder What;
+  bool HasStart = false;
+  bool Accepted = false;
+  TimePoint AcceptedAt{};
+  TimePoint FirstTry{};
+  int BusyAnswers = 0;
+  /// Starts that may still be carried out.
+  int Unanswered = 0;
+  bool StopWanted = false;
+  bool StopAccepted = false;
+  bool InFlight = false;
+  boost::asio::steady_timer Timer;
+};
+
+AgentSession::AgentSession(boost::asio::io_context &Io, const Clock &Time,
+                           WorkerPort &Worker, Options Config)
+    : Io(Io), Time(Time), Port(Worker), Config(Config),
+      Token(Config.Incarnation),
+      // An earlier agent process may have extended the lease just before.
+      LeaseBound(Time.now() + Config.MaxLease), WaitTimer(Io), HoldTimer(Io) {}
+
+AgentSession::~AgentSession() = default;
+
+void AgentSession::announce(const WorkerAnnouncement &What) {
+  bool OldLife = Worker && What.Worker.Life < Worker->Life;
+  bool OldBeat =
+      Worker && What.Worker.Life == Worker->Life && What.Sequence <= Sequence;
+  if (OldLife || OldBeat) {
+    LogEvent(LogLevel::Info, "announcement_ignored")
+        .with("worker", What.Worker.Id)
+        .with("life", What.Worker.Life)
+        .with("sequence", What.Sequence);
+    return;
+  }
+
+  bool NewLife = !Worker || Worker->Life != What.Worker.Life;
+  bool Changed = NewLife || Worker->Draining != What.Worker.Draining ||
+                 Worker->Capacity != What.Worker.Capacity;
+  if (NewLife)
+    beginLife(What.Worker.Life);
+  Worker = What.Worker;
+  Sequence = What.Sequence;
+  Lease.observe(What.Clock, Time.now());
+  if (Changed) {
+    LogEvent(LogLevel::Info, "worker_announced")
+        .with("worker", Worker->Id)
+        .with("life", Worker->Life)
+        .with("draining", Worker->Draining ? "yes" : "no")
+        .with("remaining_ms", Worker->Remaining.count());
+    news();
+  }
+  if (!Holding)
+    hold();
+}
+
+void AgentSession::leave(const TargetId &Id) {
+  if (!Worker || Worker->Id != Id)
+    return;
+
+  LogEvent(LogLevel::Info, "worker_left").with("worker", Id);
+  Worker->Draining = true;
+  Worker->Remaining = Millis(0);
+  news();
+}
+
+void AgentSession::beginLife(WorkerLife Life) {
+  LogEvent(LogLevel::Info, "worker_life_began").with("life", Life);
+  Lease.reset();
+  Running.clear();
+  Ended.clear();
+  EndsSeen = EndsRecorded = EndNumber{};
+  Progress.clear();
+  Stalled.clear();
+  Silent = true;
+  // Orders for an earlier life may still reach the new one under the same id,
+  // so each is made impossible there.
+  for (auto &[Name, Order] : Orders) {
+    Order->StopWanted = true;
+    Order->StopAccepted = false;
+    retry(Name, OrderPause);
+  }
+}
+
+void AgentSession::sync(const SyncRequest &What, ReplyCallback Reply) {
+  if (What.Leader < Leader || Closed) {
+    SyncReply Answer;
+    Answer.Newest = Leader;
+    Reply(std::move(Answer));
+    return;
+  }
+  if (Leader != What.Leader)
+    LogEvent(LogLevel::Info, "leader_followed")
+        .with("epoch", What.Leader)
+        .with("before", Leader);
+  Leader = What.Leader;
+  grant(What);
+  for (const StartOrder &Each : What.Starts)
+    takeStart(Each);
+  for (const RunName &Each : What.Stops)
+    takeStop(Each);
+
+  answerWaiting();
+  Waiting = std::move(Reply);
+  if (HasNews || What.Wait == Millis(0)) {
+    answerWaiting();
+    return;
+  }
+  WaitTimer.expires_after(What.Wait);
+  WaitTimer.async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      answerWaiting();
+  });
+}
+
+void AgentSession::grant(const SyncRequest &What) {
+  if (What.StampedBy == Config.Incarnation && What.EchoedStamp != 0) {
+    TimePoint Stamp{Millis(What.EchoedStamp)};
+    GrantEnd =
+        std::max(GrantEnd, Stamp + std::min(What.Grant, Config.MaxLease));
+  }
+  if (Worker && What.EndsOf == Worker->Life &&
+      What.EndsRecorded > EndsRecorded) {
+    EndsRecorded = What.EndsRecorded;
+    std::erase_if(Ended, [this](const EndedTask &End) {
+      return End.Number <= EndsRecorded;
+    });
+  }
+  std::erase_if(Refused, [&](const RefusedRun &Each) {
+    return Each.Number <= What.RefusalsSeen;
+  });
+}
+
+void AgentSession::takeStart(const StartOrder &What) {
+  Hints[What.Name] = {What.FillsIdleCpu, What.TailTarget, What.StallAfter};
+  if (Orders.count(What.Name) != 0 || listed(What.Name) || ended(What.Name))
+    return;
+  bool Leaving = !Worker || Worker->Life != What.Life || Worker->Draining;
+  if (Leaving) {
+    refuse(What.Name, RefusalReason::Leaving);
+    return;
+  }
+
+  auto Created = std::make_shared<Order>(Io);
+  Created->What = What;
+  Created->HasStart = true;
+  Created->FirstTry = Time.now();
+  Orders.emplace(What.Name, std::move(Created));
+  attemptStart(What.Name);
+}
+
+void AgentSession::takeStop(const RunName &What) {
+  auto &Order = Orders[What];
+  if (!Order)
+    Order = std::make_shared<AgentSession::Order>(Io);
+  Order->StopWanted = true;
+  if (!Order->InFlight && !Order->StopAccepted)
+    attemptStop(What);
+}
+
+std::optional<WorkerClock> AgentSession::grantedLease() {
+  TimePoint Now = Time.now();
+  if (GrantEnd < Now + LeastLease)
+    return std::nullopt;
+
+  auto Result = Lease.reachedBy(GrantEnd);
+  if (Result)
+    LeaseBound = std::max(LeaseBound, GrantEnd);
+  return Result;
+}
+
+void AgentSession::attemptStart(const RunName &Name) {
+  auto Found = Orders.find(Name);
+  if (Found == Orders.end() || Found->second->InFlight || Closed)
+    return;
+  Order &Start = *Found->second;
+  if (Start.StopWanted)
+    return attemptStop(Name);
+
+  auto LeaseEnd = grantedLease();
+  bool Overdue = Time.now() - Start.FirstTry > StartPatience;
+  if (!LeaseEnd || Overdue || !Worker) {
+    if (Start.Unanswered == 0)
+      return refuse(Name, RefusalReason::Late);
+    Start.StopWanted = true;
+    return attemptStop(Name);
+  }
+  Start.InFlight = true;
+  Port.start(
+      Token, Worker->Id,
+      {Name, Start.What.Spec, Start.What.Checkpoint, *LeaseEnd},
+      [this, Name](const StartOutcome &Outcome) { onStart(Name, Outcome); });
+}
+
+void AgentSession::onStart(const RunName &Name, const StartOutcome &Outcome) {
+  auto Found = Orders.find(Name);
+  if (Found == Orders.end())
+    return;
+  Order &Start = *Found->second;
+  Start.InFlight = false;
+  std::visit(Overloaded{[&](const Started &) {
+                          Start.Accepted = true;
+                          Start.AcceptedAt = Time.now();
+                          if (Start.StopWanted)
+                            attemptStop(Name);
+                        },
+                        [&](const FencedOut &) {
+                          raiseToken();
+                          retry(Name, OrderPause);
+                        },
+                        [&](const StartRefused &Why) {
+                          // A repeated start that finds its own run over is no
+                          // refusal: the worker lists the end.
+                          bool RanAlready = Why.Reason == RefusalReason::Old &&
+                                            Start.Unanswered > 0;
+                          if (RanAlready)
+                            Orders.erase(Name);
+                          else
+                            refuse(Name, Why.Reason);
+                        },
+                        [&](const WorkerBusy &) {
+                          if (++Start.BusyAnswers < MaxBusyAnswers)
+                            return retry(Name, OrderPause);
+                          if (Start.Unanswered == 0)
+                            return refuse(Name, RefusalReason::Unhealthy);
+                          Start.StopWanted = true;
+                          attemptStop(Name);
+                        },
+                        [&](const OtherLife &) {
+                          refuse(Name, RefusalReason::Leaving);
+                        },
+                        [&](const NoWorkerAnswer &Why) {
+                          ++Start.Unanswered;
+                          LogEvent(LogLevel::Info, "start_unanswered")
+                              .with("task", workload::toString(Name.Task))
+                              .with("run", Name.Run)
+                              .with("attempt", Start.Unanswered)
+                              .with("detail", Why.Detail);
+                          retry(Name, OrderPause);
+                        }},
+             Outcome);
+}
+
+void AgentSession::attemptStop(const RunName &Name) {
+  auto Found = Orders.find(Name);
+  if (Found == Orders.end() || Found->second->InFlight || Closed)
+    return;
+  if (!Worker)
+    return retry(Name, HoldPause);
+
+  Found->second->InFlight = true;
+  Port.stop(Token, Worker->Id, Name, [this, Name](const OrderOutcome &Outcome) {
+    onStop(Name, Outcome);
+  });
+}
+
+void AgentSession::onStop(const RunName &Name, const OrderOutcome &Outcome) {
+  auto Found = Orders.find(Name);
+  if (Found == Orders.end())
+    return;
+  Order &Stop = *Found->second;
+  Stop.InFlight = false;
+  std::visit(
+      Overloaded{
+          [&](const Done &) {
+            Stop.StopAccepted = true;
+            Stop.AcceptedAt = Time.now();
+          },
+          [&](const FencedOut &) {
+            raiseToken();
+            retry(Name, OrderPause);
+          },
+          [&](const WorkerBusy &) { retry(Name, HoldPause); },
+          [&](const OtherLife &) { refuse(Name, RefusalReason::Cancelled); },
+          [&](const NoWorkerAnswer &) { retry(Name, HoldPause); }},
+      Outcome);
+}
+
+void AgentSession::retry(const RunName &Name, Millis Pause) {
+  auto Found = Orders.find(Name);
+  if (Found == Orders.end())
+    return;
+
+  auto Order = Found->second;
+  Order->Timer.expires_after(Pause);
+  Order->Timer.async_wait([this, Name](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    auto Again = Orders.find(Name);
+    if (Again == Orders.end())
+      return;
+    if (Again->second->StopWanted || !Again->second->HasStart)
+      attemptStop(Name);
+    else
+      attemptStart(Name);
+  });
+}
+
+void AgentSession::refuse(const RunName &Name, RefusalReason Reason) {
+  LogEvent(LogLevel::Info, "run_refused")
+      .with("task", workload::toString(Name.Task))
+      .with("run", Name.Run)
+      .with("reason", static_cast<std::int64_t>(Reason))
+      .with("grant_left_ms",
+            std::chrono::duration_cast<Millis>(GrantEnd - Time.now()).count());
+  Orders.erase(Name);
+  Hints.erase(Name);
+  Refused.push_back({++LastRefusal, Name, Reason});
+  news();
+}
+
+void AgentSession::raiseToken() {
+  Token = FencingToken(Token.value() + TokenStep);
+  LogEvent(LogLevel::Warning, "token_raised").with("token", Token);
+}
+
+void AgentSession::hold() {
+  if (!Worker || Closed)
+    return;
+
+  Holding = true;
+  HoldRequest What;
+  What.LeaseEnd = grantedLease();
+  What.EndsRecorded = EndsRecorded;
+  What.Wait = Silent ? Millis(0) : HoldWait;
+  TimePoint SentAt = Time.now();
+  bool Waited = What.Wait > Millis(0);
+  Port.hold(Token, Worker->Id, What,
+            [this, SentAt, Waited](const HoldOutcome &Outcome) {
+              onHold(Outcome, SentAt, Waited);
+            });
+}
+
+void AgentSession::holdLater(Millis Pause) {
+  HoldTimer.expires_after(Pause);
+  HoldTimer.async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      hold();
+  });
+}
+
+void AgentSession::onHold(const HoldOutcome &Outcome, TimePoint SentAt,
+                          bool Waited) {
+  Holding = false;
+  if (Closed)
+    return;
+  if (const auto *Listing = std::get_if<WorkerListing>(&Outcome)) {
+    EndNumber Before = EndsSeen;
+    takeListing(*Listing, SentAt);
+    // A hold that does not wait although asked to must not be repeated in a
+    // tight loop.
+    bool AtOnce = Time.now() - SentAt < HoldPause;
+    bool Fresh = EndsSeen != Before;
+    Holding = true;
+    return holdLater(Waited && AtOnce && !Fresh ? HoldPause : Millis(0));
+  }
+  if (std::holds_alternative<FencedOut>(Outcome))
+    raiseToken();
+  else if (!Silent) {
+    Silent = true;
+    LogEvent(LogLevel::Warning, "worker_silent")
+        .with("worker", Worker ? Worker->Id : TargetId())
+        .with("lease_left_ms",
+              std::chrono::duration_cast<Millis>(LeaseBound - Time.now())
+                  .count());
+  }
+  Holding = true;
+  holdLater(HoldPause);
+}
+
+void AgentSession::takeListing(const WorkerListing &Listing, TimePoint SentAt) {
+  if (!Worker || Listing.Life < Worker->Life)
+    return;
+  if (Listing.Life > Worker->Life) {
+    beginLife(Listing.Life);
+    Worker->Life = Listing.Life;
+    Sequence = SequenceNumber{};
+    news();
+  }
+  TimePoint Now = Time.now();
+  Lease.observe(Listing.Clock, Now);
+  if (Silent) {
+    Silent = false;
+    news();
+  }
+  Running = Listing.Running;
+  Ended.clear();
+  for (const EndedTask &End : Listing.Ended) {
+    if (End.Number <= EndsRecorded)
+      continue;
+    Ended.push_back(End);
+    if (End.Number > EndsSeen) {
+      EndsSeen = End.Number;
+      Hints.erase(End.Name);
+      Progress.erase(End.Name);
+      news();
+    }
+  }
+  settleOrders(SentAt);
+  watchProgress(Now);
+  paceFilling(Now);
+}
+
+/// Removes the orders whose result a listing shows. A listing counts only if
+/// it was asked for after the order was accepted.
+void AgentSession::settleOrders(TimePoint SentAt) {
+  std::vector<RunName> Settled;
+  std::vector<RunName> NeverThere;
+  for (const auto &[Name, Order] : Orders) {
+    if (ended(Name)) {
+      Settled.push_back(Name);
+      continue;
+    }
+    if (Order->StopWanted) {
+      bool Late = Order->StopAccepted &&
+                  SentAt > Order->AcceptedAt + Config.StopTimeout;
+      if (Late && !listed(Name))
+        NeverThere.push_back(Name);
+      continue;
+    }
+    if (Order->Accepted && SentAt > Order->AcceptedAt)
+      Settled.push_back(Name);
+  }
+  for (const RunName &Name : Settled)
+    Orders.erase(Name);
+  for (const RunName &Name : NeverThere)
+    refuse(Name, RefusalReason::Cancelled);
+}
+
+void AgentSession::watchProgress(TimePoint Now) {
+  std::map<RunName, Watched> Next;
+  std::vector<RunName> StalledNow;
+  for (const RunningTask &Task : Running) {
+    auto Before = Progress.find(Task.Name);
+    auto Known = Hints.find(Task.Name);
+    bool Paced = Known != Hints.end() && Known->second.PacedTo < 100;
+    bool Moved = Before == Progress.end() ||
+                 Before->second.Percent != Task.Percent || Paced;
+    Watched &Entry = Next[Task.Name];
+    Entry = Moved ? Watched{Task.Percent, Now} : Before->second;
+    if (Known == Hints.end() || Known->second.StallAfter == Millis(0) ||
+        Task.Percent >= 100)
+      continue;
+    if (Now - Entry.Since > Known->second.StallAfter)
+      StalledNow.push_back(Task.Name);
+  }
+  Progress = std::move(Next);
+  if (StalledNow.size() > Stalled.size())
+    news();
+  Stalled = std::move(StalledNow);
+}
+
+void AgentSession::paceFilling(TimePoint Now) {
+  double WorstTail = 0;
+  for (const RunningTask &Task : Running) {
+    auto Known = Hints.find(Task.Name);
+    if (Known != Hints.end() && Known->second.TailTarget > Millis(0))
+      WorstTail = std::max(
+          WorstTail, static_cast<double>(Task.Load) /
+                         static_cast<double>(Known->second.TailTarget.count()));
+  }
+  std::uint32_t Percent = Pacer.update(WorstTail, Now);
+  for (const RunningTask &Task : Running) {
+    auto Known = Hints.find(Task.Name);
+    if (Known == Hints.end() || !Known->second.FillsIdleCpu ||
+        Known->second.PacedTo == Percent)
+      continue;
+    std::uint32_t Before = Known->second.PacedTo;
+    Known->second.PacedTo = Percent;
+    LogEvent(LogLevel::Info, "run_paced")
+        .with("task", workload::toString(Task.Name.Task))
+        .with("percent", Percent)
+        .with("worst_tail_percent", static_cast<std::int64_t>(WorstTail * 100));
+    Port.pace(Token, Worker->Id, Task.Name, Percent,
+              [this, Name = Task.Name, Before](const OrderOutcome &Outcome) {
+                auto Paced = Hints.find(Name);
+                // Without an answer the next listing tries again.
+                if (!std::holds_alternative<Done>(Outcome) &&
+                    Paced != Hints.end())
+                  Paced->second.PacedTo = Before;
+              });
+  }
+}
+
+bool AgentSession::listed(const RunName &Name) const {
+  return std::any_of(Running.begin(), Running.end(),
+                     [&](const auto &Task) { return Task.Name == Name; });
+}
+
+bool AgentSession::ended(const RunName &Name) const {
+  return std::any_of(Ended.begin(), Ended.end(),
+                     [&](const auto &End) { return End.Name == Name; });
+}
+
+void AgentSession::news() {
+  HasNews = true;
+  // Answers after the present handler, so that one answer carries all of it.
+  if (Waiting) {
+    WaitTimer.expires_after(Millis(0));
+    WaitTimer.async_wait([this](boost::system::error_code Failure) {
+      if (!Failure)
+        answerWaiting();
+    });
+  }
+}
+
+void AgentSession::answerWaiting() {
+  if (!Waiting)
+    return;
+
+  WaitTimer.cancel();
+  auto Reply = std::move(Waiting);
+  Waiting = nullptr;
+  HasNews = false;
+  Reply(snapshot());
+}
+
+SyncReply AgentSession::snapshot() {
+  TimePoint Now = Time.now();
+  SyncReply Result;
+  Result.Accepted = true;
+  Result.Newest = Leader;
+  Result.AgentIncarnation = Config.Incarnation;
+  Result.Stamp = millisOf(Now);
+  Result.GrantLeft =
+      std::max(Millis(0), std::chrono::duration_cast<Millis>(GrantEnd - Now));
+  Result.LeaseExpired = Silent && Now > LeaseBound;
+  if (Worker && !Silent)
+    Result.Worker = Worker;
+  Result.Running = Running;
+  for (const auto &[Name, Order] : Orders)
+    Result.Starting.push_back(Name);
+  Result.Ended = Ended;
+  Result.Refused = Refused;
+  Result.Stalled = Stalled;
+  return Result;
+}
+
+void AgentSession::close(std::function<void()> Done) {
+  answerWaiting();
+  Closed = true;
+  HoldTimer.cancel();
+  if (!Worker) {
+    Done();
+    return;
+  }
+  HoldRequest Last;
+  Last.LeaseEnd = grantedLease();
+  Last.EndsRecorded = EndsRecorded;
+  Port.hold(Token, Worker->Id, Last,
+            [Done = std::move(Done)](const HoldOutcome &) { Done(); });
+}
+
+} // namespace daisyspool::runner
--- /dev/null
+++ b/src/scheduling/JobProgress.cpp
@@ -0,0 +1,196 @@
+#include "daisyspool/scheduling/JobProgress.h"
+
+#include "daisyspool/core/Errors.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace daisyspool::scheduling {
+
+namespace {
+
+using nlohmann::json;
+
+// A waiting task that never ran and a done task are single numbers, as they
+// are by far the most frequent.
+constexpr int FreshTask = 0;
+constexpr int DoneTask = 1;
+
+json toJson(const TaskProgress &Task) {
+  if (Task.Phase == TaskPhase::Done)
+    return DoneTask;
+  if (Task.Phase == TaskPhase::Waiting && Task.LastRun == RunNumber{})
+    return FreshTask;
+
+  return json::array({Task.Phase == TaskPhase::Assigned, Task.LastRun.value(),
+                      Task.Failures, Task.Vm.str(), Task.Life.value(),
+                      Task.Checkpoint});
+}
+
+TaskProgress taskFromJson(const json &From) {
+  TaskProgress Task;
+  if (From.is_number()) {
+    if (From == DoneTask)
+      Task.Phase = TaskPhase::Done;
+    return Task;
+  }
+
+  Task.Phase =
+      From.at(0).get<bool>() ? TaskPhase::Assigned : TaskPhase::Waiting;
+  Task.LastRun = RunNumber(From.at(1).get<std::uint64_t>());
+  Task.Failures = From.at(2);
+  Task.Vm = VmId(From.at(3).get<std::string>());
+  Task.Life = WorkerLife(From.at(4).get<std::uint64_t>());
+  Task.Checkpoint = From.at(5);
+  return Task;
+}
+
+json toJson(const OccurrenceProgress &Occurrence) {
+  json Steps = json::array();
+  for (const StepProgress &Step : Occurrence.Steps) {
+    if (Step.complete()) {
+      Steps.push_back(DoneTask);
+      continue;
+    }
+    json Tasks = json::array();
+    for (const TaskProgress &Task : Step.Tasks)
+      Tasks.push_back(toJson(Task));
+    Steps.push_back(std::move(Tasks));
+  }
+
+  return Steps;
+}
+
+void stepFromJson(StepProgress &Step, const json &From) {
+  if (From.is_number()) {
+    for (TaskProgress &Task : Step.Tasks)
+      Task.Phase = TaskPhase::Done;
+  } else {
+    for (std::size_t I = 0; I < Step.Tasks.size(); ++I)
+      Step.Tasks[I] = taskFromJson(From.at(I));
+  }
+  Step.Done = static_cast<std::uint32_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), [](const auto &Task) {
+        return Task.Phase == TaskPhase::Done;
+      }));
+}
+
+bool hasAssigned(const JobProgress &Job) {
+  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
+    for (const StepProgress &Step : Occurrence.Steps)
+      for (const TaskProgress &Task : Step.Tasks)
+        if (Task.Phase == TaskPhase::Assigned)
+          return true;
+
+  return false;
+}
+
+json parse(std::string_view Bytes) {
+  json Whole = json::from_msgpack(Bytes.begin(), Bytes.end());
+  int Status = Whole.at(0);
+  if (Status < 0 || Status >= JobStatusCount)
+    throw ProtocolError("stored progress: unknown status");
+
+  return Whole;
+}
+
+} // namespace
+
+TaskProgress *JobProgress::find(const TaskName &Task) {
+  if (Task.Occurrence >= Occurrences.size())
+    return nullptr;
+  auto &Steps = Occurrences[Task.Occurrence].Steps;
+  if (Task.Step >= Steps.size() || Task.Index >= Steps[Task.Step].Tasks.size())
+    return nullptr;
+
+  return &Steps[Task.Step].Tasks[Task.Index];
+}
+
+void addOccurrence(JobProgress &Job) {
+  OccurrenceProgress Occurrence;
+  for (const auto &Step : Job.Record.Definition.Steps) {
+    Occurrence.Steps.emplace_back();
+    Occurrence.Steps.back().Tasks.resize(Step.Count);
+  }
+  Job.Occurrences.push_back(std::move(Occurrence));
+}
+
+bool isReady(const JobProgress &Job, const OccurrenceProgress &Occurrence,
+             std::size_t Step) {
+  const auto &After = Job.Record.Definition.Steps[Step].After;
+  return std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
+    return Occurrence.Steps[Earlier].complete();
+  });
+}
+
+bool isComplete(const JobProgress &Job) {
+  std::size_t Times = std::max(1U, Job.Record.Definition.Repeats.Times);
+  if (Job.Occurrences.size() < Times)
+    return false;
+
+  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
+    for (const StepProgress &Step : Occurrence.Steps)
+      if (!Step.complete())
+        return false;
+  return true;
+}
+
+Millis remainingChain(const JobProgress &Job) {
+  Millis Longest{0};
+  for (const OccurrenceProgress &Occurrence : Job.Occurrences) {
+    std::vector<Millis> Finish(Occurrence.Steps.size(), Millis(0));
+    for (std::size_t I = 0; I < Finish.size(); ++I) {
+      const auto &Step = Job.Record.Definition.Steps[I];
+      for (std::uint32_t Earlier : Step.After)
+        Finish[I] = std::max(Finish[I], Finish[Earlier]);
+      if (!Occurrence.Steps[I].complete())
+        Finish[I] += Step.Estimate;
+      Longest = std::max(Longest, Finish[I]);
+    }
+  }
+
+  return Longest;
+}
+
+std::string encodeProgress(const JobProgress &Job) {
+  json Whole = json::array({static_cast<int>(Job.Status)});
+  // Runs of a cancelled job are kept until they have ended, so that the next
+  // leader stops them too.
+  if (!isFinal(Job.Status) || hasAssigned(Job)) {
+    json Occurrences = json::array();
+    for (const OccurrenceProgress &Occurrence : Job.Occurrences)
+      Occurrences.push_back(toJson(Occurrence));
+    Whole.push_back(std::move(Occurrences));
+  }
+  auto Bytes = json::to_msgpack(Whole);
+  return {Bytes.begin(), Bytes.end()};
+}
+
+void decodeProgress(JobProgress &Job, std::string_view Bytes) {
+  try {
+    json Whole = parse(Bytes);
+    Job.Status = static_cast<JobStatus>(Whole.at(0).get<int>());
+    if (Whole.size() < 2)
+      return;
+
+    const json &Occurrences = Whole.at(1);
+    while (Job.Occurrences.size() < Occurrences.size())
+      addOccurrence(Job);
+    for (std::size_t K = 0; K < Occurrences.size(); ++K)
+      for (std::size_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I)
+        stepFromJson(Job.Occurrences[K].Steps[I], Occurrences.at(K).at(I));
+  } catch (const json::exception &Problem) {
+    throw ProtocolError(std::string("stored progress: ") + Problem.what());
+  }
+}
+
+JobStatus decodeStatus(std::string_view Bytes) {
+  try {
+    return static_cast<JobStatus>(parse(Bytes).at(0).get<int>());
+  } catch (const json::exception &Problem) {
+    throw ProtocolError(std::string("stored progress: ") + Problem.what());
+  }
+}
+
+} // namespace daisyspool::scheduling
--- /dev/null
+++ b/src/scheduling/Scheduler.cpp
@@ -0,0 +1,448 @@
+#include "daisyspool/scheduling/Scheduler.h"
+
+#include "daisyspool/core/Errors.h"
+#include "daisyspool/telemetry/Log.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace daisyspool::scheduling {
+
+namespace {
+
+/// Whether a job can still be on time, late but useful, or neither. A job
+/// earns its caller something up to three times its objective.
+int lateness(const JobProgress &Job, TimePoint Now) {
+  constexpr int UsefulFactor = 3;
+  TimePoint Finish = Now + remainingChain(Job);
+  if (Finish <= Job.Objective)
+    return 0;
+
+  return Finish <= Job.Arrival + UsefulFactor * (Job.Objective - Job.Arrival)
+             ? 1
+             : 2;
+}
+
+bool hasWaiting(const JobProgress &Job, TimePoint Now) {
+  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
+    for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      const StepProgress &Step = Occurrence.Steps[I];
+      if (Step.complete() || !isReady(Job, Occurrence, I))
+        continue;
+      for (const TaskProgress &Task : Step.Tasks)
+        if (Task.Phase == TaskPhase::Waiting && Task.NotBefore <= Now)
+          return true;
+    }
+
+  return false;
+}
+
+} // namespace
+
+void Scheduler::addJob(const workload::JobRecord &Record, Millis Age,
+                       TimePoint Now) {
+  auto [Where, New] = Jobs.try_emplace(Record.Id);
+  if (!New)
+    return;
+
+  JobProgress &Job = Where->second;
+  Job.Record = Record;
+  if (const auto *Route = Fleet.queue(Record.Policy.Name))
+    Job.Record.Policy = Route->Policy;
+  if (Record.Definition.Repeats.Times == 0)
+    addOccurrence(Job);
+  Job.Arrival = Now - std::max(Age, Millis(0));
+  auto Chain = remainingChain(Job).count();
+  Job.Objective = Job.Arrival + Record.Policy.LatencyTarget +
+                  Millis(static_cast<std::int64_t>(static_cast<double>(Chain) *
+                                                   Record.Policy.SlackFactor));
+  Open.emplace(Record.Id, &Job);
+  LogEvent(LogLevel::Info, "job_known")
+      .with("job", Record.Id)
+      .with("queue", Record.Policy.Name)
+      .with("age_ms", Age.count())
+      .with("steps", static_cast<std::int64_t>(Record.Definition.Steps.size()));
+}
+
+void Scheduler::restore(const JobId &Id, std::string_view Progress,
+                        TimePoint Now) {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    throw ProtocolError("stored progress of an unknown job " + Id.str());
+
+  JobProgress &Job = Found->second;
+  decodeProgress(Job, Progress);
+  for (std::uint32_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (std::uint32_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I) {
+      auto &Tasks = Job.Occurrences[K].Steps[I].Tasks;
+      for (std::uint32_t N = 0; N < Tasks.size(); ++N) {
+        if (Tasks[N].Phase != TaskPhase::Assigned)
+          continue;
+        addVm(Tasks[N].Vm, Now);
+        assign(Job, {Id, K, I, N}, Tasks[N].LastRun, Vms.at(Tasks[N].Vm), Now);
+        Assignment &Run = Vms.at(Tasks[N].Vm).Assigned.at({Id, K, I, N});
+        Run.Life = Tasks[N].Life;
+        Run.Commit = RestoredCommit;
+        // The first answer of the agent tells whether it has the order.
+        Run.SentIn = 1;
+        Run.EverSent = true;
+        Run.Stopping = isFinal(Job.Status);
+      }
+    }
+  if (isFinal(Job.Status))
+    Open.erase(Id);
+}
+
+bool Scheduler::cancel(const JobId &Id) {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    return false;
+
+  if (!isFinal(Found->second.Status))
+    end(Found->second, JobStatus::Cancelled);
+  return true;
+}
+
+void Scheduler::forget(const JobId &Id) { Jobs.erase(Id); }
+
+void Scheduler::configure(const workload::FleetConfig &Next) {
+  Fleet = Next;
+  for (auto &[Id, Job] : Jobs)
+    if (const auto *Route = Fleet.queue(Job.Record.Policy.Name))
+      Job.Record.Policy = Route->Policy;
+}
+
+void Scheduler::addVm(const VmId &Vm, TimePoint Now) {
+  auto [Where, New] = Vms.try_emplace(Vm);
+  if (!New)
+    return;
+
+  Where->second.Id = Vm;
+  Where->second.GrantBound = Now;
+  VmList.push_back(&Where->second);
+}
+
+void Scheduler::assumeGrants(TimePoint Until) {
+  for (auto &[Id, Vm] : Vms)
+    Vm.GrantBound = std::max(Vm.GrantBound, Until);
+}
+
+void Scheduler::markDirty(JobProgress &Job) {
+  if (Job.Dirty)
+    return;
+
+  Job.Dirty = true;
+  DirtyJobs.push_back(Job.Record.Id);
+}
+
+void Scheduler::end(JobProgress &Job, JobStatus Status) {
+  Job.Status = Status;
+  Open.erase(Job.Record.Id);
+  markDirty(Job);
+  LogEvent(LogLevel::Info, "job_ended")
+      .with("job", Job.Record.Id)
+      .with("status", static_cast<std::int64_t>(Status));
+  for (std::uint32_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (std::uint32_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I) {
+      auto &Tasks = Job.Occurrences[K].Steps[I].Tasks;
+      for (std::uint32_t N = 0; N < Tasks.size(); ++N)
+        if (Tasks[N].Phase == TaskPhase::Assigned)
+          stop(Vms.at(Tasks[N].Vm), {Job.Record.Id, K, I, N}, "job_ended");
+    }
+}
+
+void Scheduler::stop(VmState &Vm, const TaskName &Name, const char *Cause) {
+  auto Found = Vm.Assigned.find(Name);
+  if (Found == Vm.Assigned.end() || Found->second.Stopping)
+    return;
+
+  LogEvent(LogLevel::Info, "run_stop")
+      .with("task", workload::toString(Name))
+      .with("run", Found->second.Run)
+      .with("vm", Vm.Id)
+      .with("cause", Cause);
+  if (!Found->second.EverSent) {
+    requeue(Vm, Name, {}, Cause);
+    return;
+  }
+  Found->second.Stopping = true;
+}
+
+void Scheduler::requeue(VmState &Vm, const TaskName &Name, TimePoint NotBefore,
+                        const char *Cause) {
+  Vm.release(Name);
+  auto Found = Jobs.find(Name.Job);
+  if (Found == Jobs.end())
+    return;
+
+  JobProgress &Job = Found->second;
+  TaskProgress *Task = Job.find(Name);
+  if (!Task || Task->Phase != TaskPhase::Assigned)
+    return;
+  Task->Phase = TaskPhase::Waiting;
+  Task->NotBefore = NotBefore;
+  markDirty(Job);
+  LogEvent(LogLevel::Info, "run_over")
+      .with("task", workload::toString(Name))
+      .with("run", Task->LastRun)
+      .with("vm", Vm.Id)
+      .with("cause", Cause);
+}
+
+const ServiceId &Scheduler::serviceOf(const JobProgress &Job) const {
+  return Job.Record.Policy.Service;
+}
+
+void Scheduler::expireGrants(TimePoint Now) {
+  for (VmState *Vm : VmList) {
+    if (Now <= Vm->GrantBound || Vm->Assigned.empty())
+      continue;
+    LogEvent(LogLevel::Warning, "vm_lost")
+        .with("vm", Vm->Id)
+        .with("silent_ms",
+              std::chrono::duration_cast<Millis>(Now - Vm->LastReply).count())
+        .with("runs", static_cast<std::int64_t>(Vm->Assigned.size()));
+    while (!Vm->Assigned.empty())
+      requeue(*Vm, TaskName(Vm->Assigned.begin()->first), {}, "grant_expired");
+  }
+}
+
+void Scheduler::evacuate(VmState &Vm) {
+  if (!Vm.Worker || !Vm.Worker->Draining)
+    return;
+
+  std::vector<TaskName> Leaving;
+  for (const auto &[Name, Run] : Vm.Assigned)
+    if (Run.LongRunning || Run.Checkpoints)
+      Leaving.push_back(Name);
+  for (const TaskName &Name : Leaving)
+    stop(Vm, Name, "draining");
+}
+
+void Scheduler::addDueOccurrences(JobProgress &Job, WallMillis Wall) {
+  const workload::Repetition &Repeats = Job.Record.Definition.Repeats;
+  while (Job.Occurrences.size() < Repeats.Times) {
+    auto Count = static_cast<std::int64_t>(Job.Occurrences.size());
+    if (Wall < Repeats.First + Count * Repeats.Interval)
+      return;
+    addOccurrence(Job);
+    markDirty(Job);
+  }
+}
+
+std::vector<JobProgress *> Scheduler::scheduleOrder(TimePoint Now) {
+  using Key = std::tuple<int, int, TimePoint>;
+  std::vector<std::pair<Key, JobProgress *>> Ordered;
+  for (auto &[Id, Job] : Open)
+    if (hasWaiting(*Job, Now))
+      Ordered.emplace_back(
+          Key{Job->Record.Policy.Priority, lateness(*Job, Now), Job->Objective},
+          Job);
+  std::sort(Ordered.begin(), Ordered.end());
+  std::vector<JobProgress *> Result;
+  for (auto &Each : Ordered)
+    Result.push_back(Each.second);
+
+  return Result;
+}
+
+void Scheduler::schedule(TimePoint Now, WallMillis Wall) {
+  expireGrants(Now);
+  for (VmState *Vm : VmList)
+    evacuate(*Vm);
+  for (auto &[Id, Job] : Open)
+    addDueOccurrences(*Job, Wall);
+  Claimed.clear();
+  for (JobProgress *Job : scheduleOrder(Now))
+    placeJob(*Job, Now);
+}
+
+void Scheduler::placeJob(JobProgress &Job, TimePoint Now) {
+  for (std::uint32_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (std::uint32_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I) {
+      const StepProgress &Step = Job.Occurrences[K].Steps[I];
+      if (Step.complete() || !isReady(Job, Job.Occurrences[K], I))
+        continue;
+      if (Job.Record.Definition.Steps[I].Gang)
+        placeGang(Job, K, I, Now);
+      else
+        placeStep(Job, K, I, Now);
+    }
+}
+
+std::map<VmId, std::uint32_t> Scheduler::siblings(const JobProgress &Job,
+                                                  std::uint32_t Occurrence,
+                                                  std::uint32_t Step) const {
+  std::map<VmId, std::uint32_t> Result;
+  const auto &Definition = Job.Record.Definition.Steps[Step];
+  if (Definition.MaxPerVm == 0 && !Definition.LongRunning)
+    return Result;
+  for (const TaskProgress &Task : Job.Occurrences[Occurrence].Steps[Step].Tasks)
+    if (Task.Phase == TaskPhase::Assigned)
+      ++Result[Task.Vm];
+
+  return Result;
+}
+
+bool Scheduler::placeStep(JobProgress &Job, std::uint32_t Occurrence,
+                          std::uint32_t Step, TimePoint Now) {
+  auto &Tasks = Job.Occurrences[Occurrence].Steps[Step].Tasks;
+  auto Siblings = siblings(Job, Occurrence, Step);
+  for (std::uint32_t N = 0; N < Tasks.size(); ++N) {
+    TaskProgress &Task = Tasks[N];
+    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now)
+      continue;
+    VmRequest Request{&Job.Record.Definition.Steps[Step], serviceOf(Job),
+                      &Task.Avoid, &Siblings};
+    VmState *Vm = chooseVm(VmList, Request, Now);
+    if (!Vm) {
+      preemptFor(Job, Request, Now);
+      return false;
+    }
+    ++Siblings[Vm->Id];
+    assign(Job, {Job.Record.Id, Occurrence, Step, N}, Task.LastRun.next(), *Vm,
+           Now);
+  }
+
+  return true;
+}
+
+void Scheduler::placeGang(JobProgress &Job, std::uint32_t Occurrence,
+                          std::uint32_t Step, TimePoint Now) {
+  auto &Tasks = Job.Occurrences[Occurrence].Steps[Step].Tasks;
+  RunNumber Run;
+  for (const TaskProgress &Task : Tasks) {
+    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now)
+      return;
+    Run = std::max(Run, Task.LastRun.next());
+  }
+
+  // All members or none: a part of a gang would hold room and do no work.
+  auto Siblings = siblings(Job, Occurrence, Step);
+  std::vector<std::pair<TaskName, VmState *>> Placed;
+  for (std::uint32_t N = 0; N < Tasks.size(); ++N) {
+    VmRequest Request{&Job.Record.Definition.Steps[Step], serviceOf(Job),
+                      &Tasks[N].Avoid, &Siblings};
+    VmState *Vm = chooseVm(VmList, Request, Now);
+    if (!Vm)
+      break;
+    ++Siblings[Vm->Id];
+    TaskName Name{Job.Record.Id, Occurrence, Step, N};
+    Tasks[N].Checkpoint = Tasks[0].Checkpoint;
+    assign(Job, Name, Run, *Vm, Now);
+    Placed.emplace_back(Name, Vm);
+  }
+  if (Placed.size() == Tasks.size())
+    return;
+  for (auto &[Name, Vm] : Placed)
+    requeue(*Vm, Name, Now + Config.RetryPause, "gang_without_room");
+}
+
+void Scheduler::assign(JobProgress &Job, const TaskName &Name, RunNumber Run,
+                       VmState &Vm, TimePoint Now) {
+  const auto &Step = Job.definition(Name);
+  TaskProgress &Task = *Job.find(Name);
+  Task.Phase = TaskPhase::Assigned;
+  Task.LastRun = Run;
+  Task.Vm = Vm.Id;
+  if (Vm.Worker)
+    Task.Life = Vm.Worker->Life;
+
+  Assignment What;
+  What.Run = Run;
+  What.Life = Task.Life;
+  What.Held = heldBy(Step);
+  What.Filling = Step.FillsIdleCpu ? Step.Needs.Cpu : MilliCores(0);
+  What.Priority = Job.Record.Policy.Priority;
+  What.Checkpoints = Step.Checkpoints;
+  What.LongRunning = Step.LongRunning;
+  What.Serves = Step.TailTarget > Millis(0);
+  What.Since = Now;
+  Vm.assign(Name, What);
+  if (Job.Status == JobStatus::Queued)
+    Job.Status = JobStatus::Active;
+  markDirty(Job);
+  LogEvent(LogLevel::Info, "run_assigned")
+      .with("task", workload::toString(Name))
+      .with("run", Run)
+      .with("vm", Vm.Id)
+      .with("life", Task.Life)
+      .with("report_age_ms",
+            std::chrono::duration_cast<Millis>(Now - Vm.LastReply).count())
+      .with("held_cpu", Vm.Held.Cpu.value())
+      .with("wait_ms",
+            std::chrono::duration_cast<Millis>(Now - Job.Arrival).count());
+}
+
+void Scheduler::preemptFor(const JobProgress &Job, const VmRequest &Request,
+                           TimePoint Now) {
+  // Only the first class preempts.
+  if (Job.Record.Policy.Priority != 0)
+    return;
+
+  Preemption Chosen = choosePreemption(
+      VmList, Request, Job.Record.Policy.Priority, Claimed, Now);
+  if (!Chosen.Vm)
+    return;
+  Claimed[Chosen.Vm->Id] = Claimed[Chosen.Vm->Id] + heldBy(*Request.Step);
+  for (const TaskName &Victim : Chosen.Victims)
+    stop(*Chosen.Vm, Victim, "preempted");
+}
+
+std::vector<Scheduler::Change> Scheduler::takeChanges(CommitNumber Number) {
+  std::vector<Change> Result;
+  std::size_t Count = std::min(DirtyJobs.size(), Config.MaxChanges);
+  for (std::size_t I = 0; I < Count; ++I) {
+    auto Found = Jobs.find(DirtyJobs[I]);
+    if (Found == Jobs.end())
+      continue;
+    Found->second.Dirty = false;
+    Result.push_back({Found->first, encodeProgress(Found->second)});
+  }
+  DirtyJobs.erase(DirtyJobs.begin(),
+                  DirtyJobs.begin() + static_cast<std::ptrdiff_t>(Count));
+
+  for (VmState *Vm : VmList) {
+    for (auto &[Name, Run] : Vm->Assigned) {
+      auto Found = Jobs.find(Name.Job);
+      bool Written = Found == Jobs.end() || !Found->second.Dirty;
+      if (Run.Commit == CommitNumber{} && Written)
+        Run.Commit = Number;
+    }
+    // Ends are acknowledged only when every job that they touched is written.
+    if (DirtyJobs.empty()) {
+      Vm->EndsInCommit = Vm->EndsApplied;
+      Vm->EndsCommit = Number;
+    }
+  }
+  return Result;
+}
+
+void Scheduler::committed(CommitNumber Number) {
+  Durable = Number;
+  for (VmState *Vm : VmList)
+    if (Vm->EndsCommit != CommitNumber{} && Vm->EndsCommit <= Durable)
+      Vm->EndsRecorded = std::max(Vm->EndsRecorded, Vm->EndsInCommit);
+}
+
+std::map<workload::QueueId, std::uint32_t> Scheduler::pending() const {
+  std::map<workload::QueueId, std::uint32_t> Result;
+  for (const auto &[Id, Job] : Open)
+    if (Job->Status == JobStatus::Queued)
+      ++Result[Job->Record.Policy.Name];
+
+  return Result;
+}
+
+const JobProgress *Scheduler::job(const JobId &Id) const {
+  auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : &Found->second;
+}
+
+const VmState *Scheduler::vm(const VmId &Id) const {
+  auto Found = Vms.find(Id);
+  return Found == Vms.end() ? nullptr : &Found->second;
+}
+
+} // namespace daisyspool::scheduling
