Keep orders until the worker's first listing, steer filling by the tail

Leases were extended to silent workers, so a dead one never expired. Pace halved from 80% of the target and fell to a standstill. Ruled out: a late order carried out twice (the runs overlap from the restart).

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -74,13 +74,15 @@
     TimePoint Since{};
   };
   struct Hint {
+    workload::ImageId Image;
     bool FillsIdleCpu = false;
     Millis TailTarget{0};
     Millis StallAfter{0};
     std::uint32_t PacedTo = 100;
   };
 
-  void beginLife(WorkerLife Life);
+  void beginLife(WorkerLife Next);
+  void expireLease();
   void grant(const SyncRequest &What);
   void takeStart(const StartOrder &What);
   void takeStop(const RunName &What);
@@ -96,6 +98,7 @@
   void onHold(const HoldOutcome &Outcome, TimePoint SentAt, bool Waited);
   void takeListing(const WorkerListing &Listing, TimePoint SentAt);
   void settleOrders(TimePoint SentAt);
+  void startWaitingOrders();
   void watchProgress(TimePoint Now);
   void paceFilling(TimePoint Now);
   bool listed(const RunName &Name) const;
@@ -104,6 +107,7 @@
   void answerWaiting();
   SyncReply snapshot();
   std::optional<WorkerClock> grantedLease();
+  TargetId workerId() const;
 
   boost::asio::io_context &Io;
   const Clock &Time;
@@ -111,7 +115,12 @@
   Options Config;
   FencingToken Token;
   Epoch Leader;
+  /// What the worker announced; a new agent process waits for it.
   std::optional<WorkerReport> Worker;
+  /// The worker's life as far as it is known, 0 before the first word of it.
+  WorkerLife Life;
+  /// Whether the worker has listed its runs in this life.
+  bool HaveListing = false;
   SequenceNumber Sequence;
   LeaseClock Lease;
   TimePoint GrantEnd{};
@@ -129,9 +138,12 @@
   std::uint64_t LastRefusal = 0;
   std::vector<RunName> Stalled;
   FillPacer Pacer;
+  /// Largest quotient of tail latency and target among the serving tasks.
+  double WorstTail = 0;
+  /// The next hold waits for its timer.
+  bool PausedHold = false;
   bool HasNews = false;
   bool Closed = false;
-  bool Holding = false;
   ReplyCallback Waiting;
   boost::asio::steady_timer WaitTimer;
   boost::asio::steady_timer HoldTimer;
--- a/include/daisyspool/runner/FillPacer.h
+++ b/include/daisyspool/runner/FillPacer.h
@@ -29,10 +29,16 @@
   static constexpr Millis EffectDelay{700};
   /// Quotients at which the share falls and may rise; the gap keeps a rough
   /// figure from moving it back and forth.
-  static constexpr double SlowDownAt = 0.8;
-  static constexpr double SpeedUpBelow = 0.55;
-  static constexpr std::uint32_t Step = 20;
-  static constexpr std::uint32_t LeastPercent = 10;
+  static constexpr double SlowDownAt = 0.95;
+  static constexpr double SpeedUpBelow = 0.85;
+  /// Where the quotient is steered.
+  static constexpr double Aim = 0.9;
+  static constexpr double LeastFactor = 0.4;
+  /// Percent gained per unit of the quotient that is left, and at most.
+  static constexpr double StepPerTail = 80;
+  static constexpr double MaxStep = 30;
+  /// Below it a filling task hardly works and only disturbs.
+  static constexpr double LeastPercent = 8;
 
   std::uint32_t Percent = 100;
   TimePoint LastChange{};
--- a/include/daisyspool/runner/Sync.h
+++ b/include/daisyspool/runner/Sync.h
@@ -87,6 +87,8 @@
   WorkerLife Life;
   std::string Spec;
   std::string Checkpoint;
+  /// Tasks of one image behave alike.
+  workload::ImageId Image;
   bool FillsIdleCpu = false;
   Millis TailTarget{0};
   /// Without progress for so long the run counts as stalled; 0 is never.
@@ -124,6 +126,11 @@
   bool Draining = false;
   /// Least time left while it drains.
   Millis Remaining{0};
+  /// Worst tail latency of a serving task, in percent of its target; 0 if
+  /// nothing serves there.
+  std::uint32_t TailPercent = 0;
+  /// Share of their speed at which filling tasks work there.
+  std::uint32_t FillPercent = 100;
 };
 
 /// An agent's answer: always a whole snapshot, so that any leader can
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -12,6 +12,9 @@
 /// How long a hold waits for an end. Also the age at which the lease is
 /// extended, so a small part of the leader's grant.
 constexpr Millis HoldWait{400};
+/// How far ahead a worker's lease is extended. Short, as the runs of a worker
+/// that has gone dark start elsewhere only when it has expired.
+constexpr Millis LeaseLength{2500};
 /// Pause after a hold that failed, or that answered at once with nothing new.
 constexpr Millis HoldPause{100};
 /// Pause before an order without an answer is repeated.
@@ -62,12 +65,16 @@
     : Io(Io), Time(Time), Port(Worker), Config(Config),
       Token(Config.Incarnation),
       // An earlier agent process may have extended the lease just before.
-      LeaseBound(Time.now() + Config.MaxLease), WaitTimer(Io), HoldTimer(Io) {}
+      LeaseBound(Time.now() + Config.MaxLease), WaitTimer(Io), HoldTimer(Io) {
+  // Runs of an earlier agent process need their lease extended before the
+  // worker's next announcement.
+  hold();
+}
 
 AgentSession::~AgentSession() = default;
 
 void AgentSession::announce(const WorkerAnnouncement &What) {
-  bool OldLife = Worker && What.Worker.Life < Worker->Life;
+  bool OldLife = What.Worker.Life < Life;
   bool OldBeat =
       Worker && What.Worker.Life == Worker->Life && What.Sequence <= Sequence;
   if (OldLife || OldBeat) {
@@ -78,10 +85,10 @@
     return;
   }
 
-  bool NewLife = !Worker || Worker->Life != What.Worker.Life;
-  bool Changed = NewLife || Worker->Draining != What.Worker.Draining ||
+  bool Changed = !Worker || Worker->Life != What.Worker.Life ||
+                 Worker->Draining != What.Worker.Draining ||
                  Worker->Capacity != What.Worker.Capacity;
-  if (NewLife)
+  if (Life != What.Worker.Life)
     beginLife(What.Worker.Life);
   Worker = What.Worker;
   Sequence = What.Sequence;
@@ -94,8 +101,6 @@
         .with("remaining_ms", Worker->Remaining.count());
     news();
   }
-  if (!Holding)
-    hold();
 }
 
 void AgentSession::leave(const TargetId &Id) {
@@ -108,15 +113,23 @@
   news();
 }
 
-void AgentSession::beginLife(WorkerLife Life) {
-  LogEvent(LogLevel::Info, "worker_life_began").with("life", Life);
+void AgentSession::beginLife(WorkerLife Next) {
+  LogEvent(LogLevel::Info, "worker_life_began")
+      .with("life", Next)
+      .with("before", Life);
+  // A new agent process takes the first life that it hears of for the one that
+  // its orders are for; takeStart() compares them after the first listing.
+  bool Known = Life != WorkerLife{};
+  Life = Next;
+  HaveListing = false;
   Lease.reset();
   Running.clear();
   Ended.clear();
   EndsSeen = EndsRecorded = EndNumber{};
   Progress.clear();
   Stalled.clear();
-  Silent = true;
+  if (!Known)
+    return;
   // Orders for an earlier life may still reach the new one under the same id,
   // so each is made impossible there.
   for (auto &[Name, Order] : Orders) {
@@ -126,6 +139,22 @@
   }
 }
 
+void AgentSession::expireLease() {
+  if (!Silent || Time.now() <= LeaseBound || Orders.empty())
+    return;
+
+  // No order that is still on its way can have an effect: its lease is over.
+  std::vector<RunName> Void;
+  for (const auto &[Name, Order] : Orders)
+    Void.push_back(Name);
+  for (const RunName &Name : Void)
+    refuse(Name, RefusalReason::Late);
+}
+
+TargetId AgentSession::workerId() const {
+  return Worker && Worker->Life == Life ? Worker->Id : TargetId();
+}
+
 void AgentSession::sync(const SyncRequest &What, ReplyCallback Reply) {
   if (What.Leader < Leader || Closed) {
     SyncReply Answer;
@@ -163,12 +192,13 @@
     GrantEnd =
         std::max(GrantEnd, Stamp + std::min(What.Grant, Config.MaxLease));
   }
-  if (Worker && What.EndsOf == Worker->Life &&
-      What.EndsRecorded > EndsRecorded) {
+  if (What.EndsOf == Life && What.EndsRecorded > EndsRecorded) {
     EndsRecorded = What.EndsRecorded;
     std::erase_if(Ended, [this](const EndedTask &End) {
       return End.Number <= EndsRecorded;
     });
+    if (Ended.empty() && PausedHold)
+      holdLater(Millis(0));
   }
   std::erase_if(Refused, [&](const RefusedRun &Each) {
     return Each.Number <= What.RefusalsSeen;
@@ -176,21 +206,22 @@
 }
 
 void AgentSession::takeStart(const StartOrder &What) {
-  Hints[What.Name] = {What.FillsIdleCpu, What.TailTarget, What.StallAfter};
+  Hint &Known = Hints[What.Name];
+  Known.Image = What.Image;
+  Known.FillsIdleCpu = What.FillsIdleCpu;
+  Known.TailTarget = What.TailTarget;
+  Known.StallAfter = What.StallAfter;
   if (Orders.count(What.Name) != 0 || listed(What.Name) || ended(What.Name))
     return;
-  bool Leaving = !Worker || Worker->Life != What.Life || Worker->Draining;
-  if (Leaving) {
-    refuse(What.Name, RefusalReason::Leaving);
-    return;
-  }
-
   auto Created = std::make_shared<Order>(Io);
   Created->What = What;
   Created->HasStart = true;
   Created->FirstTry = Time.now();
   Orders.emplace(What.Name, std::move(Created));
-  attemptStart(What.Name);
+  // Before the first listing the run may be there already, started through an
+  // earlier agent process.
+  if (HaveListing)
+    attemptStart(What.Name);
 }
 
 void AgentSession::takeStop(const RunName &What) {
@@ -204,12 +235,15 @@
 
 std::optional<WorkerClock> AgentSession::grantedLease() {
   TimePoint Now = Time.now();
-  if (GrantEnd < Now + LeastLease)
+  // What is sent to a silent worker may arrive much later; without a lease in
+  // it the end of the present one stays certain.
+  if (Silent || GrantEnd < Now + LeastLease)
     return std::nullopt;
 
-  auto Result = Lease.reachedBy(GrantEnd);
+  TimePoint End = std::min(GrantEnd, Now + LeaseLength);
+  auto Result = Lease.reachedBy(End);
   if (Result)
-    LeaseBound = std::max(LeaseBound, GrantEnd);
+    LeaseBound = std::max(LeaseBound, End);
   return Result;
 }
 
@@ -221,9 +255,13 @@
   if (Start.StopWanted)
     return attemptStop(Name);
 
+  bool Leaving = Start.What.Life != Life || (Worker && Worker->Draining);
+  if (Leaving && Start.Unanswered == 0)
+    return refuse(Name, RefusalReason::Leaving);
+
   auto LeaseEnd = grantedLease();
   bool Overdue = Time.now() - Start.FirstTry > StartPatience;
-  if (!LeaseEnd || Overdue || !Worker) {
+  if (!LeaseEnd || Overdue || Leaving) {
     if (Start.Unanswered == 0)
       return refuse(Name, RefusalReason::Late);
     Start.StopWanted = true;
@@ -231,7 +269,7 @@
   }
   Start.InFlight = true;
   Port.start(
-      Token, Worker->Id,
+      Token, workerId(),
       {Name, Start.What.Spec, Start.What.Checkpoint, *LeaseEnd},
       [this, Name](const StartOutcome &Outcome) { onStart(Name, Outcome); });
 }
@@ -289,11 +327,8 @@
   auto Found = Orders.find(Name);
   if (Found == Orders.end() || Found->second->InFlight || Closed)
     return;
-  if (!Worker)
-    return retry(Name, HoldPause);
-
   Found->second->InFlight = true;
-  Port.stop(Token, Worker->Id, Name, [this, Name](const OrderOutcome &Outcome) {
+  Port.stop(Token, workerId(), Name, [this, Name](const OrderOutcome &Outcome) {
     onStop(Name, Outcome);
   });
 }
@@ -359,23 +394,24 @@
 }
 
 void AgentSession::hold() {
-  if (!Worker || Closed)
+  if (Closed)
     return;
 
-  Holding = true;
+  PausedHold = false;
   HoldRequest What;
   What.LeaseEnd = grantedLease();
   What.EndsRecorded = EndsRecorded;
   What.Wait = Silent ? Millis(0) : HoldWait;
   TimePoint SentAt = Time.now();
   bool Waited = What.Wait > Millis(0);
-  Port.hold(Token, Worker->Id, What,
+  Port.hold(Token, workerId(), What,
             [this, SentAt, Waited](const HoldOutcome &Outcome) {
               onHold(Outcome, SentAt, Waited);
             });
 }
 
 void AgentSession::holdLater(Millis Pause) {
+  PausedHold = true;
   HoldTimer.expires_after(Pause);
   HoldTimer.async_wait([this](boost::system::error_code Failure) {
     if (!Failure)
@@ -385,40 +421,34 @@
 
 void AgentSession::onHold(const HoldOutcome &Outcome, TimePoint SentAt,
                           bool Waited) {
-  Holding = false;
   if (Closed)
     return;
   if (const auto *Listing = std::get_if<WorkerListing>(&Outcome)) {
-    EndNumber Before = EndsSeen;
     takeListing(*Listing, SentAt);
-    // A hold that does not wait although asked to must not be repeated in a
-    // tight loop.
-    bool AtOnce = Time.now() - SentAt < HoldPause;
-    bool Fresh = EndsSeen != Before;
-    Holding = true;
-    return holdLater(Waited && AtOnce && !Fresh ? HoldPause : Millis(0));
+    // While ends are not recorded a worker answers at once; the next hold
+    // follows their record, or after a pause.
+    bool AtOnce = Waited && Time.now() - SentAt < HoldPause;
+    return holdLater(AtOnce || !Ended.empty() ? HoldPause : Millis(0));
   }
   if (std::holds_alternative<FencedOut>(Outcome))
     raiseToken();
   else if (!Silent) {
     Silent = true;
     LogEvent(LogLevel::Warning, "worker_silent")
-        .with("worker", Worker ? Worker->Id : TargetId())
+        .with("worker", workerId())
         .with("lease_left_ms",
               std::chrono::duration_cast<Millis>(LeaseBound - Time.now())
                   .count());
   }
-  Holding = true;
+  expireLease();
   holdLater(HoldPause);
 }
 
 void AgentSession::takeListing(const WorkerListing &Listing, TimePoint SentAt) {
-  if (!Worker || Listing.Life < Worker->Life)
+  if (Listing.Life < Life)
     return;
-  if (Listing.Life > Worker->Life) {
+  if (Listing.Life > Life) {
     beginLife(Listing.Life);
-    Worker->Life = Listing.Life;
-    Sequence = SequenceNumber{};
     news();
   }
   TimePoint Now = Time.now();
@@ -441,6 +471,8 @@
     }
   }
   settleOrders(SentAt);
+  if (!std::exchange(HaveListing, true))
+    startWaitingOrders();
   watchProgress(Now);
   paceFilling(Now);
 }
@@ -471,6 +503,21 @@
     refuse(Name, RefusalReason::Cancelled);
 }
 
+void AgentSession::startWaitingOrders() {
+  std::vector<RunName> Names;
+  for (const auto &[Name, Order] : Orders)
+    Names.push_back(Name);
+  for (const RunName &Name : Names) {
+    auto Found = Orders.find(Name);
+    if (Found == Orders.end())
+      continue;
+    if (listed(Name) && !Found->second->StopWanted)
+      Orders.erase(Found);
+    else
+      attemptStart(Name);
+  }
+}
+
 void AgentSession::watchProgress(TimePoint Now) {
   std::map<RunName, Watched> Next;
   std::vector<RunName> StalledNow;
@@ -495,7 +542,7 @@
 }
 
 void AgentSession::paceFilling(TimePoint Now) {
-  double WorstTail = 0;
+  WorstTail = 0;
   for (const RunningTask &Task : Running) {
     auto Known = Hints.find(Task.Name);
     if (Known != Hints.end() && Known->second.TailTarget > Millis(0))
@@ -515,7 +562,7 @@
         .with("task", workload::toString(Task.Name.Task))
         .with("percent", Percent)
         .with("worst_tail_percent", static_cast<std::int64_t>(WorstTail * 100));
-    Port.pace(Token, Worker->Id, Task.Name, Percent,
+    Port.pace(Token, workerId(), Task.Name, Percent,
               [this, Name = Task.Name, Before](const OrderOutcome &Outcome) {
                 auto Paced = Hints.find(Name);
                 // Without an answer the next listing tries again.
@@ -569,8 +616,11 @@
   Result.GrantLeft =
       std::max(Millis(0), std::chrono::duration_cast<Millis>(GrantEnd - Now));
   Result.LeaseExpired = Silent && Now > LeaseBound;
-  if (Worker && !Silent)
+  if (Worker && Worker->Life == Life && !Silent) {
     Result.Worker = Worker;
+    Result.Worker->TailPercent = static_cast<std::uint32_t>(WorstTail * 100);
+    Result.Worker->FillPercent = Pacer.percent();
+  }
   Result.Running = Running;
   for (const auto &[Name, Order] : Orders)
     Result.Starting.push_back(Name);
@@ -584,14 +634,10 @@
   answerWaiting();
   Closed = true;
   HoldTimer.cancel();
-  if (!Worker) {
-    Done();
-    return;
-  }
   HoldRequest Last;
   Last.LeaseEnd = grantedLease();
   Last.EndsRecorded = EndsRecorded;
-  Port.hold(Token, Worker->Id, Last,
+  Port.hold(Token, workerId(), Last,
             [Done = std::move(Done)](const HoldOutcome &) { Done(); });
 }
 
--- a/src/runner/FillPacer.cpp
+++ b/src/runner/FillPacer.cpp
@@ -12,13 +12,16 @@
   if (Now - LastChange < EffectDelay)
     return Percent;
 
-  std::uint32_t Next = Percent;
+  double Next = Percent;
   if (WorstTail > SlowDownAt)
-    Next = Percent / 2 < LeastPercent ? 0 : Percent / 2;
+    Next *= std::max(Aim / WorstTail, LeastFactor);
   else if (WorstTail < SpeedUpBelow)
-    Next = std::min(100U, Percent + Step);
-  if (Next != Percent) {
-    Percent = Next;
+    Next += std::min(MaxStep, (Aim - WorstTail) * StepPerTail);
+  if (Next < LeastPercent && WorstTail > SlowDownAt)
+    Next = 0;
+  Next = std::clamp(Next, 0.0, 100.0);
+  if (static_cast<std::uint32_t>(Next) != Percent) {
+    Percent = static_cast<std::uint32_t>(Next);
     LastChange = Now;
   }
   return Percent;
--- a/src/runner/Sync.cpp
+++ b/src/runner/Sync.cpp
@@ -32,18 +32,21 @@
 
 json toJson(const StartOrder &Order) {
   return json::array({toJson(Order.Name), Order.Life.value(), Order.Spec,
-                      Order.Checkpoint, Order.FillsIdleCpu,
+                      Order.Checkpoint, Order.Image.str(), Order.FillsIdleCpu,
                       Order.TailTarget.count(), Order.StallAfter.count()});
 }
 
 StartOrder startFromJson(const json &From) {
-  return {runFromJson(From.at(0)),
-          WorkerLife(From.at(1)),
-          From.at(2),
-          From.at(3),
-          From.at(4),
-          Millis(From.at(5).get<std::int64_t>()),
-          Millis(From.at(6).get<std::int64_t>())};
+  StartOrder Order;
+  Order.Name = runFromJson(From.at(0));
+  Order.Life = WorkerLife(From.at(1));
+  Order.Spec = From.at(2);
+  Order.Checkpoint = From.at(3);
+  Order.Image = workload::ImageId(From.at(4));
+  Order.FillsIdleCpu = From.at(5);
+  Order.TailTarget = Millis(From.at(6).get<std::int64_t>());
+  Order.StallAfter = Millis(From.at(7).get<std::int64_t>());
+  return Order;
 }
 
 json toJson(const WorkerReport &Worker) {
@@ -51,7 +54,8 @@
       {Worker.Life.value(), Worker.Id.str(), Worker.Service.str(),
        Worker.FailureDomain.str(), Worker.Capacity.Cpu.value(),
        Worker.Capacity.Memory.value(), Worker.Capacity.Accelerator.value(),
-       Worker.Labels, Worker.Draining, Worker.Remaining.count()});
+       Worker.Labels, Worker.Draining, Worker.Remaining.count(),
+       Worker.TailPercent, Worker.FillPercent});
 }
 
 WorkerReport workerFromJson(const json &From) {
@@ -65,6 +69,8 @@
   Worker.Labels = From.at(7).get<std::vector<std::string>>();
   Worker.Draining = From.at(8);
   Worker.Remaining = Millis(From.at(9).get<std::int64_t>());
+  Worker.TailPercent = From.at(10);
+  Worker.FillPercent = From.at(11);
   return Worker;
 }
 
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -241,6 +241,7 @@
           Job);
   std::sort(Ordered.begin(), Ordered.end());
   std::vector<JobProgress *> Result;
+  Result.reserve(Ordered.size());
   for (auto &Each : Ordered)
     Result.push_back(Each.second);
 
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -202,14 +202,18 @@
   for (auto &[Name, Run] : Vm.Assigned) {
     runner::RunName Wanted{Name, Run.Run};
     auto Listed = Running.find(Wanted);
-    if (Listed != Running.end()) {
+    if (Listed != Running.end() && !Reply.LeaseExpired) {
       Run.Percent = Listed->second->Percent;
       continue;
     }
+    if (Reply.LeaseExpired) {
+      Gone.push_back(Name);
+      continue;
+    }
     if (Present.count(Wanted) != 0)
       continue;
     bool OtherLife = Reply.Worker && Reply.Worker->Life != Run.Life;
-    if (OtherLife || Reply.LeaseExpired)
+    if (OtherLife)
       Gone.push_back(Name);
     else if (Run.SentIn != 0 && Number >= Run.SentIn)
       Run.SentIn = 0;
@@ -300,6 +304,7 @@
                            Run.Life,
                            Found->second.Record.Definition.Spec,
                            Found->second.find(Name)->Checkpoint,
+                           Step.Image,
                            Step.FillsIdleCpu,
                            Step.TailTarget,
                            stallBound(Step)});
