Learn by pairs of images which services a filling task disturbs

Ruled out: processors (half of the reserved ones are idle). Change: the leader feeds the interference model with the agents' reports, places filling tasks by the expected tail and tells agents which services a task leaves alone; a job with nothing running for 2 s takes any VM.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -78,6 +78,7 @@
     bool FillsIdleCpu = false;
     Millis TailTarget{0};
     Millis StallAfter{0};
+    std::vector<workload::ImageId> HarmlessTo;
     std::uint32_t PacedTo = 100;
   };
 
@@ -100,7 +101,9 @@
   void settleOrders(TimePoint SentAt);
   void startWaitingOrders();
   void watchProgress(TimePoint Now);
+  double worstTailBeside(const Hint &Filling) const;
   void paceFilling(TimePoint Now);
+  void pace(const RunName &Name, std::uint32_t Percent, double Tail);
   bool listed(const RunName &Name) const;
   bool ended(const RunName &Name) const;
   void news();
@@ -138,8 +141,6 @@
   std::uint64_t LastRefusal = 0;
   std::vector<RunName> Stalled;
   FillPacer Pacer;
-  /// Largest quotient of tail latency and target among the serving tasks.
-  double WorstTail = 0;
   /// The next hold waits for its timer.
   bool PausedHold = false;
   bool HasNews = false;
--- a/include/daisyspool/runner/Sync.h
+++ b/include/daisyspool/runner/Sync.h
@@ -93,6 +93,8 @@
   Millis TailTarget{0};
   /// Without progress for so long the run counts as stalled; 0 is never.
   Millis StallAfter{0};
+  /// Images of serving tasks that this one is known not to disturb.
+  std::vector<workload::ImageId> HarmlessTo;
 };
 
 /// What the leading entry tells an agent.
@@ -126,11 +128,6 @@
   bool Draining = false;
   /// Least time left while it drains.
   Millis Remaining{0};
-  /// Worst tail latency of a serving task, in percent of its target; 0 if
-  /// nothing serves there.
-  std::uint32_t TailPercent = 0;
-  /// Share of their speed at which filling tasks work there.
-  std::uint32_t FillPercent = 100;
 };
 
 /// An agent's answer: always a whole snapshot, so that any leader can
--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -68,6 +68,9 @@
   /// process's clock.
   TimePoint Arrival{};
   TimePoint Objective{};
+  /// Tasks with a run, and since when there is none.
+  std::uint32_t AssignedTasks = 0;
+  TimePoint IdleSince{};
   bool Dirty = false;
 
   const workload::StepDefinition &definition(const TaskName &Task) const {
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -37,6 +37,8 @@
     Millis RetryPause{150};
     Millis Probation{4000};
     double FailuresForProbation = 3;
+    /// A job with nothing running for so long takes any VM with room.
+    Millis StarvedAfter{2000};
     /// At most this many jobs in one transaction.
     std::size_t MaxChanges = 95;
   };
@@ -126,6 +128,7 @@
                      TimePoint Now);
   void reconcile(VmState &Vm, std::uint64_t Number,
                  const runner::SyncReply &Reply, TimePoint Now);
+  void noteIdle(JobProgress &Job);
   void requeue(VmState &Vm, const TaskName &Name, TimePoint NotBefore,
                const char *Cause);
   void stop(VmState &Vm, const TaskName &Name, const char *Cause);
@@ -146,6 +149,7 @@
                                          std::uint32_t Occurrence,
                                          std::uint32_t Step) const;
   const ServiceId &serviceOf(const JobProgress &Job) const;
+  bool isStarved(const JobProgress &Job, TimePoint Now) const;
 
   Options Config;
   JobMap Jobs;
@@ -157,6 +161,8 @@
   workload::FleetConfig Fleet;
   /// Resources on VMs that are being freed for urgent tasks in this pass.
   std::map<VmId, Resources> Claimed;
+  TailModel Tails;
+  TimePoint LastSchedule{};
   CommitNumber Durable = RestoredCommit;
 };
 
--- a/include/daisyspool/scheduling/VmChoice.h
+++ b/include/daisyspool/scheduling/VmChoice.h
@@ -2,6 +2,7 @@
 #define DAISYSPOOL_SCHEDULING_VMCHOICE_H
 
 #include "daisyspool/scheduling/JobProgress.h"
+#include "daisyspool/scheduling/TailModel.h"
 #include "daisyspool/scheduling/VmState.h"
 
 #include <map>
@@ -17,6 +18,11 @@
   const std::vector<VmId> *Avoid = nullptr;
   /// Tasks of the same step and occurrence by VM.
   const std::map<VmId, std::uint32_t> *Siblings = nullptr;
+  /// Needed for a step that fills idle processors.
+  const TailModel *Tails = nullptr;
+  /// The job has nothing running and has waited long: the best VM will do,
+  /// also where a filling task has to work slowly.
+  bool Starved = false;
 };
 
 /// What a task holds of a VM's capacity: nothing of the processors if it only
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -32,7 +32,12 @@
   int Priority = 0;
   bool Checkpoints = false;
   bool LongRunning = false;
-  bool Serves = false;
+  workload::ImageId Image;
+  /// Tail latency that a serving task must stay below; 0 if it serves nobody.
+  Millis TailTarget{0};
+  /// The newest figure: tail latency in ms of a serving task, else thousandths
+  /// of a core in use.
+  std::int64_t Load = 0;
   /// The transaction that makes it durable; it is not ordered before.
   CommitNumber Commit;
   /// The sync that carried the order; 0 if it has to be sent.
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -211,6 +211,7 @@
   Known.FillsIdleCpu = What.FillsIdleCpu;
   Known.TailTarget = What.TailTarget;
   Known.StallAfter = What.StallAfter;
+  Known.HarmlessTo = What.HarmlessTo;
   if (Orders.count(What.Name) != 0 || listed(What.Name) || ended(What.Name))
     return;
   auto Created = std::make_shared<Order>(Io);
@@ -541,38 +542,64 @@
   Stalled = std::move(StalledNow);
 }
 
-void AgentSession::paceFilling(TimePoint Now) {
-  WorstTail = 0;
+double AgentSession::worstTailBeside(const Hint &Filling) const {
+  double Worst = 0;
   for (const RunningTask &Task : Running) {
     auto Known = Hints.find(Task.Name);
-    if (Known != Hints.end() && Known->second.TailTarget > Millis(0))
-      WorstTail = std::max(
-          WorstTail, static_cast<double>(Task.Load) /
-                         static_cast<double>(Known->second.TailTarget.count()));
+    if (Known == Hints.end() || Known->second.TailTarget == Millis(0))
+      continue;
+    const auto &Harmless = Filling.HarmlessTo;
+    if (std::find(Harmless.begin(), Harmless.end(), Known->second.Image) !=
+        Harmless.end())
+      continue;
+    Worst = std::max(Worst, static_cast<double>(Task.Load) /
+                                static_cast<double>(
+                                    Known->second.TailTarget.count()));
   }
-  std::uint32_t Percent = Pacer.update(WorstTail, Now);
+
+  return Worst;
+}
+
+void AgentSession::paceFilling(TimePoint Now) {
+  double Worst = 0;
+  std::vector<std::pair<RunName, double>> Filling;
   for (const RunningTask &Task : Running) {
     auto Known = Hints.find(Task.Name);
-    if (Known == Hints.end() || !Known->second.FillsIdleCpu ||
-        Known->second.PacedTo == Percent)
+    if (Known == Hints.end() || !Known->second.FillsIdleCpu)
       continue;
-    std::uint32_t Before = Known->second.PacedTo;
-    Known->second.PacedTo = Percent;
-    LogEvent(LogLevel::Info, "run_paced")
-        .with("task", workload::toString(Task.Name.Task))
-        .with("percent", Percent)
-        .with("worst_tail_percent", static_cast<std::int64_t>(WorstTail * 100));
-    Port.pace(Token, workerId(), Task.Name, Percent,
-              [this, Name = Task.Name, Before](const OrderOutcome &Outcome) {
-                auto Paced = Hints.find(Name);
-                // Without an answer the next listing tries again.
-                if (!std::holds_alternative<Done>(Outcome) &&
-                    Paced != Hints.end())
-                  Paced->second.PacedTo = Before;
-              });
+    Filling.emplace_back(Task.Name, worstTailBeside(Known->second));
+    Worst = std::max(Worst, Filling.back().second);
+  }
+  std::uint32_t Percent = Pacer.update(Worst, Now);
+  for (const auto &[Name, Tail] : Filling) {
+    // A task beside services that are well off needs no slowing down.
+    bool Free = Tail < FillPacer::SpeedUpBelow && Tail < Worst;
+    pace(Name, Free ? 100 : Percent, Tail);
   }
 }
 
+void AgentSession::pace(const RunName &Name, std::uint32_t Percent,
+                        double Tail) {
+  Hint &Known = Hints[Name];
+  if (Known.PacedTo == Percent)
+    return;
+
+  std::uint32_t Before = Known.PacedTo;
+  Known.PacedTo = Percent;
+  LogEvent(LogLevel::Info, "run_paced")
+      .with("task", workload::toString(Name.Task))
+      .with("percent", Percent)
+      .with("tail_percent", static_cast<std::int64_t>(Tail * 100));
+  Port.pace(Token, workerId(), Name, Percent,
+            [this, Name, Before](const OrderOutcome &Outcome) {
+              auto Paced = Hints.find(Name);
+              // Without an answer the next listing tries again.
+              if (!std::holds_alternative<Done>(Outcome) &&
+                  Paced != Hints.end())
+                Paced->second.PacedTo = Before;
+            });
+}
+
 bool AgentSession::listed(const RunName &Name) const {
   return std::any_of(Running.begin(), Running.end(),
                      [&](const auto &Task) { return Task.Name == Name; });
@@ -616,11 +643,8 @@
   Result.GrantLeft =
       std::max(Millis(0), std::chrono::duration_cast<Millis>(GrantEnd - Now));
   Result.LeaseExpired = Silent && Now > LeaseBound;
-  if (Worker && Worker->Life == Life && !Silent) {
+  if (Worker && Worker->Life == Life && !Silent)
     Result.Worker = Worker;
-    Result.Worker->TailPercent = static_cast<std::uint32_t>(WorstTail * 100);
-    Result.Worker->FillPercent = Pacer.percent();
-  }
   Result.Running = Running;
   for (const auto &[Name, Order] : Orders)
     Result.Starting.push_back(Name);
--- a/src/runner/Sync.cpp
+++ b/src/runner/Sync.cpp
@@ -31,9 +31,13 @@
 }
 
 json toJson(const StartOrder &Order) {
+  json Harmless = json::array();
+  for (const workload::ImageId &Image : Order.HarmlessTo)
+    Harmless.push_back(Image.str());
   return json::array({toJson(Order.Name), Order.Life.value(), Order.Spec,
                       Order.Checkpoint, Order.Image.str(), Order.FillsIdleCpu,
-                      Order.TailTarget.count(), Order.StallAfter.count()});
+                      Order.TailTarget.count(), Order.StallAfter.count(),
+                      std::move(Harmless)});
 }
 
 StartOrder startFromJson(const json &From) {
@@ -46,6 +50,8 @@
   Order.FillsIdleCpu = From.at(5);
   Order.TailTarget = Millis(From.at(6).get<std::int64_t>());
   Order.StallAfter = Millis(From.at(7).get<std::int64_t>());
+  for (const json &Image : From.at(8))
+    Order.HarmlessTo.emplace_back(Image.get<std::string>());
   return Order;
 }
 
@@ -54,8 +60,7 @@
       {Worker.Life.value(), Worker.Id.str(), Worker.Service.str(),
        Worker.FailureDomain.str(), Worker.Capacity.Cpu.value(),
        Worker.Capacity.Memory.value(), Worker.Capacity.Accelerator.value(),
-       Worker.Labels, Worker.Draining, Worker.Remaining.count(),
-       Worker.TailPercent, Worker.FillPercent});
+       Worker.Labels, Worker.Draining, Worker.Remaining.count()});
 }
 
 WorkerReport workerFromJson(const json &From) {
@@ -69,8 +74,6 @@
   Worker.Labels = From.at(7).get<std::vector<std::string>>();
   Worker.Draining = From.at(8);
   Worker.Remaining = Millis(From.at(9).get<std::int64_t>());
-  Worker.TailPercent = From.at(10);
-  Worker.FillPercent = From.at(11);
   return Worker;
 }
 
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -53,6 +53,7 @@
   if (Record.Definition.Repeats.Times == 0)
     addOccurrence(Job);
   Job.Arrival = Now - std::max(Age, Millis(0));
+  Job.IdleSince = Now;
   auto Chain = remainingChain(Job).count();
   Job.Objective = Job.Arrival + Record.Policy.LatencyTarget +
                   Millis(static_cast<std::int64_t>(static_cast<double>(Chain) *
@@ -169,6 +170,12 @@
   Found->second.Stopping = true;
 }
 
+void Scheduler::noteIdle(JobProgress &Job) {
+  --Job.AssignedTasks;
+  if (Job.AssignedTasks == 0)
+    Job.IdleSince = LastSchedule;
+}
+
 void Scheduler::requeue(VmState &Vm, const TaskName &Name, TimePoint NotBefore,
                         const char *Cause) {
   Vm.release(Name);
@@ -182,6 +189,7 @@
     return;
   Task->Phase = TaskPhase::Waiting;
   Task->NotBefore = NotBefore;
+  noteIdle(Job);
   markDirty(Job);
   LogEvent(LogLevel::Info, "run_over")
       .with("task", workload::toString(Name))
@@ -194,6 +202,10 @@
   return Job.Record.Policy.Service;
 }
 
+bool Scheduler::isStarved(const JobProgress &Job, TimePoint Now) const {
+  return Job.AssignedTasks == 0 && Now - Job.IdleSince > Config.StarvedAfter;
+}
+
 void Scheduler::expireGrants(TimePoint Now) {
   for (VmState *Vm : VmList) {
     if (Now <= Vm->GrantBound || Vm->Assigned.empty())
@@ -249,6 +261,7 @@
 }
 
 void Scheduler::schedule(TimePoint Now, WallMillis Wall) {
+  LastSchedule = Now;
   expireGrants(Now);
   for (VmState *Vm : VmList)
     evacuate(*Vm);
@@ -294,8 +307,12 @@
     TaskProgress &Task = Tasks[N];
     if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now)
       continue;
-    VmRequest Request{&Job.Record.Definition.Steps[Step], serviceOf(Job),
-                      &Task.Avoid, &Siblings};
+    VmRequest Request{&Job.Record.Definition.Steps[Step],
+                      serviceOf(Job),
+                      &Task.Avoid,
+                      &Siblings,
+                      &Tails,
+                      isStarved(Job, Now)};
     VmState *Vm = chooseVm(VmList, Request, Now);
     if (!Vm) {
       preemptFor(Job, Request, Now);
@@ -323,8 +340,12 @@
   auto Siblings = siblings(Job, Occurrence, Step);
   std::vector<std::pair<TaskName, VmState *>> Placed;
   for (std::uint32_t N = 0; N < Tasks.size(); ++N) {
-    VmRequest Request{&Job.Record.Definition.Steps[Step], serviceOf(Job),
-                      &Tasks[N].Avoid, &Siblings};
+    VmRequest Request{&Job.Record.Definition.Steps[Step],
+                      serviceOf(Job),
+                      &Tasks[N].Avoid,
+                      &Siblings,
+                      &Tails,
+                      isStarved(Job, Now)};
     VmState *Vm = chooseVm(VmList, Request, Now);
     if (!Vm)
       break;
@@ -358,9 +379,11 @@
   What.Priority = Job.Record.Policy.Priority;
   What.Checkpoints = Step.Checkpoints;
   What.LongRunning = Step.LongRunning;
-  What.Serves = Step.TailTarget > Millis(0);
+  What.Image = Step.Image;
+  What.TailTarget = Step.TailTarget;
   What.Since = Now;
   Vm.assign(Name, What);
+  ++Job.AssignedTasks;
   if (Job.Status == JobStatus::Queued)
     Job.Status = JobStatus::Active;
   markDirty(Job);
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -138,6 +138,8 @@
   bool Gang = Job.definition(Name).Gang;
   for (std::uint32_t N = 0; N < Step.Tasks.size(); ++N)
     if ((Gang || N == Name.Index) && Step.Tasks[N].Phase != TaskPhase::Done) {
+      if (Step.Tasks[N].Phase == TaskPhase::Assigned)
+        noteIdle(Job);
       Step.Tasks[N].Phase = TaskPhase::Done;
       ++Step.Done;
     }
@@ -204,6 +206,7 @@
     auto Listed = Running.find(Wanted);
     if (Listed != Running.end() && !Reply.LeaseExpired) {
       Run.Percent = Listed->second->Percent;
+      Run.Load = Listed->second->Load;
       continue;
     }
     if (Reply.LeaseExpired) {
@@ -218,6 +221,7 @@
     else if (Run.SentIn != 0 && Number >= Run.SentIn)
       Run.SentIn = 0;
   }
+  Tails.observe(Vm, Now);
   for (const TaskName &Name : Gone)
     requeue(Vm, Name, {}, Reply.LeaseExpired ? "lease_expired" : "new_life");
 
@@ -307,7 +311,9 @@
                            Step.Image,
                            Step.FillsIdleCpu,
                            Step.TailTarget,
-                           stallBound(Step)});
+                           stallBound(Step),
+                           Step.FillsIdleCpu ? Tails.harmlessTo(Step.Image, Now)
+                                             : std::vector<workload::ImageId>{}});
   }
   return What;
 }
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -11,16 +11,9 @@
 /// the wait of a sync.
 constexpr Millis MaxSilence{1500};
 
-/// A tail figure covers half a second and arrives with the next sync.
-constexpr Millis TailDelay{900};
-/// Percent of the target that one filling task is taken to add until the
-/// figure shows it.
-constexpr std::int64_t PressureOfOne = 15;
-/// No filling task is added above this tail, or where those that are there
-/// work slower than this share: queued work that starts later on a worker with
-/// room ends sooner than a crowd that all stands nearly still.
-constexpr std::int64_t MaxPressure = 85;
-constexpr std::uint32_t LeastFillPercent = 60;
+/// No filling task is added where the tail of a service is expected beyond this
+/// part of its target: it would be slowed down again at once.
+constexpr double MaxTail = 0.9;
 
 bool hasLabel(const VmState &Vm, const workload::LabelId &Label) {
   const auto &Labels = Vm.Worker->Labels;
@@ -42,26 +35,13 @@
   return (Vm.free().Cpu - Vm.Filling).value();
 }
 
-/// The tail of the serving tasks in percent of their target, with what the
-/// filling tasks that its figure does not show yet may add.
-std::int64_t pressureOn(const VmState &Vm, TimePoint Now) {
-  auto Unseen = std::count_if(
-      Vm.Assigned.begin(), Vm.Assigned.end(), [&](const auto &Each) {
-        return Each.second.Filling > MilliCores(0) &&
-               Now - Each.second.Since < TailDelay;
-      });
-  if (Vm.Worker->TailPercent == 0)
-    return 0;
-  return Vm.Worker->TailPercent + Unseen * PressureOfOne;
-}
-
 /// Whether a filling task would get on: idle processors, and a tail of the
 /// serving tasks that leaves it its speed.
-bool hasIdleRoom(const VmState &Vm, const workload::StepDefinition &Step,
-                 TimePoint Now) {
-  return idleCpu(Vm) >= Step.Needs.Cpu.value() &&
-         pressureOn(Vm, Now) < MaxPressure &&
-         Vm.Worker->FillPercent >= LeastFillPercent;
+bool hasIdleRoom(const VmState &Vm, const VmRequest &Request, TimePoint Now) {
+  if (Request.Starved)
+    return true;
+  return idleCpu(Vm) >= Request.Step->Needs.Cpu.value() &&
+         Request.Tails->predict(Vm, Request.Step->Image, Now) < MaxTail;
 }
 
 /// Smaller is better.
@@ -71,7 +51,12 @@
   const auto &Step = *Request.Step;
   bool Far = !Step.PreferredRack.empty() && Vm.Rack != Step.PreferredRack;
   if (Step.FillsIdleCpu)
-    return {avoided(Vm, Request), Far, pressureOn(Vm, Now), -idleCpu(Vm)};
+    return {avoided(Vm, Request), Far,
+            // Steps of a tenth, so that rough figures do not outweigh idle
+            // processors.
+            static_cast<std::int64_t>(
+                Request.Tails->predict(Vm, Step.Image, Now) * 10),
+            -idleCpu(Vm)};
   if (Step.LongRunning)
     return {avoided(Vm, Request), Far, siblingsOn(Vm, Request), -idleCpu(Vm)};
   return {avoided(Vm, Request), Far, 0, Vm.free().Cpu.value()};
@@ -126,7 +111,7 @@
   for (VmState *Vm : Vms) {
     if (!Vm->Worker || !admits(*Vm, Request, Vm->free(), Now))
       continue;
-    if (Request.Step->FillsIdleCpu && !hasIdleRoom(*Vm, *Request.Step, Now))
+    if (Request.Step->FillsIdleCpu && !hasIdleRoom(*Vm, Request, Now))
       continue;
     Score Candidate = scoreOf(*Vm, Request, Now);
     if (!Best || Candidate < BestScore) {
