Let a cancellation count before progress is read, stop filling after 2 s over target

Ruled out: a late order (the runs were never ordered to stop). Change: restore() keeps an earlier cancellation; pace 0 after 2 s over.

--- a/include/daisyspool/runner/FillPacer.h
+++ b/include/daisyspool/runner/FillPacer.h
@@ -4,6 +4,7 @@
 #include "daisyspool/core/Clock.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace daisyspool::runner {
 
@@ -30,6 +31,10 @@
 private:
   /// The tail is a figure of half a second; an effect shows after that.
   static constexpr Millis EffectDelay{700};
+  /// A tail beyond the target for so long stops filling tasks altogether: half
+  /// of the least time after which a service counts as harmed (4 s), as the
+  /// figure and the effect lag by a second.
+  static constexpr Millis MaxOver{2000};
   /// Above this quotient the share falls; the gap keeps a rough figure from
   /// moving it back and forth.
   static constexpr double SlowDownAt = 0.95;
@@ -44,6 +49,8 @@
 
   std::uint32_t Percent = 100;
   TimePoint LastChange{};
+  /// Since when the worst tail is beyond its target.
+  std::optional<TimePoint> OverSince;
 };
 
 } // namespace daisyspool::runner
--- a/src/runner/FillPacer.cpp
+++ b/src/runner/FillPacer.cpp
@@ -7,6 +7,16 @@
 std::uint32_t FillPacer::update(double WorstTail, TimePoint Now) {
   if (WorstTail == 0) {
     Percent = 100;
+    OverSince.reset();
+    return Percent;
+  }
+  if (WorstTail <= 1)
+    OverSince.reset();
+  else if (!OverSince)
+    OverSince = Now;
+  if (OverSince && Now - *OverSince > MaxOver) {
+    Percent = 0;
+    LastChange = Now;
     return Percent;
   }
   if (Now - LastChange < EffectDelay)
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -73,7 +73,13 @@
     throw ProtocolError("stored progress of an unknown job " + Id.str());
 
   JobProgress &Job = Found->second;
+  // A cancellation that is read before the progress counts all the same.
+  bool Cancelled = Job.Status == JobStatus::Cancelled;
   decodeProgress(Job, Progress);
+  if (Cancelled && !isFinal(Job.Status)) {
+    Job.Status = JobStatus::Cancelled;
+    markDirty(Job);
+  }
   for (std::uint32_t K = 0; K < Job.Occurrences.size(); ++K)
     for (std::uint32_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I) {
       auto &Tasks = Job.Occurrences[K].Steps[I].Tasks;
