Let a refusal stand, and wait for the first grant before refusing

Ruled out: late orders of the earlier process (fenced by the higher token). Change: refused runs are remembered; a start without a grant waits for one.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -139,6 +139,7 @@
   std::map<RunName, Watched> Progress;
   std::vector<RefusedRun> Refused;
   std::uint64_t LastRefusal = 0;
+  std::map<TaskName, RunNumber> RefusedUpTo;
   std::vector<RunName> Stalled;
   FillPacer Pacer;
   /// The next hold waits for its timer.
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -29,6 +29,9 @@
 /// clock is expected to be set back.
 constexpr std::uint64_t TokenStep = 60000;
 
+/// Refused tasks that are remembered; some minutes' worth of refusals.
+constexpr std::size_t MaxRemembered = 2000;
+
 std::uint64_t millisOf(TimePoint When) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<Millis>(When.time_since_epoch()).count());
@@ -212,6 +215,11 @@
   Known.TailTarget = What.TailTarget;
   Known.StallAfter = What.StallAfter;
   Known.HarmlessTo = What.HarmlessTo;
+  // A refusal stands: the leader may have sent the order again before it heard
+  // of it, and starts the task elsewhere when it does.
+  auto Given = RefusedUpTo.find(What.Name.Task);
+  if (Given != RefusedUpTo.end() && What.Name.Run <= Given->second)
+    return;
   if (Orders.count(What.Name) != 0 || listed(What.Name) || ended(What.Name))
     return;
   auto Created = std::make_shared<Order>(Io);
@@ -262,6 +270,9 @@
 
   auto LeaseEnd = grantedLease();
   bool Overdue = Time.now() - Start.FirstTry > StartPatience;
+  // A new agent process gets its first grant with the second sync.
+  if (!LeaseEnd && !Overdue && !Leaving)
+    return retry(Name, OrderPause);
   if (!LeaseEnd || Overdue || Leaving) {
     if (Start.Unanswered == 0)
       return refuse(Name, RefusalReason::Late);
@@ -386,6 +397,9 @@
   Orders.erase(Name);
   Hints.erase(Name);
   Refused.push_back({++LastRefusal, Name, Reason});
+  if (RefusedUpTo.size() >= MaxRemembered)
+    RefusedUpTo.erase(RefusedUpTo.begin());
+  RefusedUpTo[Name.Task] = std::max(RefusedUpTo[Name.Task], Name.Run);
   news();
 }
 
