Pace a new filling task with its start

Ruled out: the pace of known tasks (0 after 2 s over in the logs). Change: a start beside a strained service is paced at once; pace 0 after 1.5 s.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -103,6 +103,7 @@
   void watchProgress(TimePoint Now);
   double worstTailBeside(const Hint &Filling) const;
   void paceFilling(TimePoint Now);
+  void paceNew(const RunName &Name);
   void pace(const RunName &Name, std::uint32_t Percent, double Tail);
   bool listed(const RunName &Name) const;
   bool ended(const RunName &Name) const;
--- a/include/daisyspool/runner/FillPacer.h
+++ b/include/daisyspool/runner/FillPacer.h
@@ -31,10 +31,10 @@
 private:
   /// The tail is a figure of half a second; an effect shows after that.
   static constexpr Millis EffectDelay{700};
-  /// A tail beyond the target for so long stops filling tasks altogether: half
-  /// of the least time after which a service counts as harmed (4 s), as the
-  /// figure and the effect lag by a second.
-  static constexpr Millis MaxOver{2000};
+  /// A tail beyond the target for so long stops filling tasks altogether. A
+  /// service counts as harmed after 4 s; figure, listing and effect lag by more
+  /// than a second.
+  static constexpr Millis MaxOver{1500};
   /// Above this quotient the share falls; the gap keeps a rough figure from
   /// moving it back and forth.
   static constexpr double SlowDownAt = 0.95;
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -297,6 +297,8 @@
                           Start.AcceptedAt = Time.now();
                           if (Start.StopWanted)
                             attemptStop(Name);
+                          else
+                            paceNew(Name);
                         },
                         [&](const FencedOut &) {
                           raiseToken();
@@ -592,6 +594,17 @@
   }
 }
 
+/// Load pattern: short filling tasks that follow each other; each would work at
+/// full speed until the next listing and keep a tail beyond its target.
+void AgentSession::paceNew(const RunName &Name) {
+  auto Known = Hints.find(Name);
+  if (Known == Hints.end() || !Known->second.FillsIdleCpu)
+    return;
+  double Tail = worstTailBeside(Known->second);
+  if (Tail >= FillPacer::SpeedUpBelow)
+    pace(Name, Pacer.percent(), Tail);
+}
+
 void AgentSession::pace(const RunName &Name, std::uint32_t Percent,
                         double Tail) {
   Hint &Known = Hints[Name];
