Stop all filling beside a service that stays beyond its target

Ruled out: the paced tasks beside it (0 after 1.5 s in the log). Change: an overrun stops every filling task on the worker until the tail has fallen below 0.85; harmless needs 15 reports.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -143,6 +143,7 @@
   std::map<TaskName, RunNumber> RefusedUpTo;
   std::vector<RunName> Stalled;
   FillPacer Pacer;
+  TailOverrun Overrun;
   /// The next hold waits for its timer.
   bool PausedHold = false;
   bool HasNews = false;
--- a/include/daisyspool/runner/FillPacer.h
+++ b/include/daisyspool/runner/FillPacer.h
@@ -31,10 +31,6 @@
 private:
   /// The tail is a figure of half a second; an effect shows after that.
   static constexpr Millis EffectDelay{700};
-  /// A tail beyond the target for so long stops filling tasks altogether. A
-  /// service counts as harmed after 4 s; figure, listing and effect lag by more
-  /// than a second.
-  static constexpr Millis MaxOver{1500};
   /// Above this quotient the share falls; the gap keeps a rough figure from
   /// moving it back and forth.
   static constexpr double SlowDownAt = 0.95;
@@ -49,8 +45,32 @@
 
   std::uint32_t Percent = 100;
   TimePoint LastChange{};
-  /// Since when the worst tail is beyond its target.
-  std::optional<TimePoint> OverSince;
+};
+
+/// Tells when a service has been beyond its target for so long that all
+/// filling tasks beside it must stop.
+///
+/// Load pattern: a steady crowd of filling tasks that each do little harm, or a
+/// pair of images that was taken for harmless.
+///
+/// Thread safety: one thread at a time.
+class TailOverrun {
+public:
+  /// \p WorstTail as in FillPacer::update(). Returns over().
+  bool update(double WorstTail, TimePoint Now);
+
+  /// Whether filling tasks must stand still.
+  bool over() const { return Over; }
+
+private:
+  /// A service counts as harmed after 4 s beyond its target; figure, listing
+  /// and effect lag by more than a second.
+  static constexpr Millis MaxOver{1500};
+  /// The tail has to fall well below the target before they go on.
+  static constexpr double EndsBelow = 0.85;
+
+  bool Over = false;
+  std::optional<TimePoint> Since;
 };
 
 } // namespace daisyspool::runner
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -578,6 +578,7 @@
 
 void AgentSession::paceFilling(TimePoint Now) {
   double Worst = 0;
+  double WorstOfAll = worstTailBeside({});
   std::vector<std::pair<RunName, double>> Filling;
   for (const RunningTask &Task : Running) {
     auto Known = Hints.find(Task.Name);
@@ -586,11 +587,13 @@
     Filling.emplace_back(Task.Name, worstTailBeside(Known->second));
     Worst = std::max(Worst, Filling.back().second);
   }
+  // Beyond the bound what is known of harmless pairs is not relied on.
+  bool StopAll = !Filling.empty() && Overrun.update(WorstOfAll, Now);
   std::uint32_t Percent = Pacer.update(Worst, Now);
   for (const auto &[Name, Tail] : Filling) {
     // A task beside services that are well off needs no slowing down.
-    bool Free = Tail < FillPacer::SpeedUpBelow && Tail < Worst;
-    pace(Name, Free ? 100 : Percent, Tail);
+    bool Free = Tail < FillPacer::SpeedUpBelow;
+    pace(Name, StopAll ? 0 : Free ? 100 : Percent, StopAll ? WorstOfAll : Tail);
   }
 }
 
@@ -601,7 +604,9 @@
   if (Known == Hints.end() || !Known->second.FillsIdleCpu)
     return;
   double Tail = worstTailBeside(Known->second);
-  if (Tail >= FillPacer::SpeedUpBelow)
+  if (Overrun.over())
+    pace(Name, 0, Tail);
+  else if (Tail >= FillPacer::SpeedUpBelow)
     pace(Name, Pacer.percent(), Tail);
 }
 
--- a/src/runner/FillPacer.cpp
+++ b/src/runner/FillPacer.cpp
@@ -7,16 +7,6 @@
 std::uint32_t FillPacer::update(double WorstTail, TimePoint Now) {
   if (WorstTail == 0) {
     Percent = 100;
-    OverSince.reset();
-    return Percent;
-  }
-  if (WorstTail <= 1)
-    OverSince.reset();
-  else if (!OverSince)
-    OverSince = Now;
-  if (OverSince && Now - *OverSince > MaxOver) {
-    Percent = 0;
-    LastChange = Now;
     return Percent;
   }
   if (Now - LastChange < EffectDelay)
@@ -37,4 +27,16 @@
   return Percent;
 }
 
+bool TailOverrun::update(double WorstTail, TimePoint Now) {
+  if (WorstTail <= 1)
+    Since.reset();
+  else if (!Since)
+    Since = Now;
+  if (Since && Now - *Since > MaxOver)
+    Over = true;
+  else if (WorstTail < EndsBelow)
+    Over = false;
+  return Over;
+}
+
 } // namespace daisyspool::runner
--- a/src/scheduling/TailModel.cpp
+++ b/src/scheduling/TailModel.cpp
@@ -16,7 +16,9 @@
 constexpr double UnknownExcess = 0.12;
 /// Reports after which a pair counts as known.
 constexpr double KnownWeight = 4;
-constexpr double HarmlessExcess = 0.06;
+/// A task is called harmless to a service only after more reports.
+constexpr double SureWeight = 15;
+constexpr double HarmlessExcess = 0.05;
 /// Part of the difference by which one report moves the usual quotient.
 constexpr double AloneRate = 0.05;
 /// A figure covers half a second and arrives with the next sync.
@@ -105,7 +107,7 @@
   for (const auto &[Serving, Usual] : Alone) {
     auto Pair =
         Pairs.pair(Kinds.at(Serving), Filling->second, OneBand, Now);
-    if (Pair.Weight >= KnownWeight && Pair.Excess < HarmlessExcess)
+    if (Pair.Weight >= SureWeight && Pair.Excess < HarmlessExcess)
       Result.push_back(Serving);
   }
   return Result;
