--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -1,12 +1,11 @@
 #ifndef DAISYSPOOL_INTAKE_JOBINTAKE_H
 #define DAISYSPOOL_INTAKE_JOBINTAKE_H
 
+#include "daisyspool/core/EventLoop.h"
 #include "daisyspool/rows/RowStore.h"
 #include "daisyspool/scheduling/JobProgress.h"
 #include "daisyspool/workload/JobDefinition.h"
 
-#include <boost/asio/io_context.hpp>
-
 #include <functional>
 #include <variant>
 
@@ -41,9 +40,8 @@
 /// Thread safety: call from the I/O thread only; callbacks run there.
 class JobIntake {
 public:
-  JobIntake(boost::asio::io_context &Io, const Clock &Time,
-            rows::RowStore &Store)
-      : Io(Io), Time(Time), Store(Store) {}
+  JobIntake(EventLoop &Loop, const Clock &Time, rows::RowStore &Store)
+      : Loop(Loop), Time(Time), Store(Store) {}
   JobIntake(const JobIntake &) = delete;
   JobIntake &operator=(const JobIntake &) = delete;
 
@@ -70,9 +68,11 @@
                std::function<void(StatusOutcome)> Done);
   void writeCancel(const std::shared_ptr<Cancellation> &What);
 
-  boost::asio::io_context &Io;
+  EventLoop &Loop;
   const Clock &Time;
   rows::RowStore &Store;
+  /// Lets the pauses of unsettled calls end with the intake.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace daisyspool::intake
--- a/include/daisyspool/leadership/AgentLinks.h
+++ b/include/daisyspool/leadership/AgentLinks.h
@@ -1,24 +1,47 @@
 #ifndef DAISYSPOOL_LEADERSHIP_AGENTLINKS_H
 #define DAISYSPOOL_LEADERSHIP_AGENTLINKS_H
 
-#include "daisyspool/http/Client.h"
+#include "daisyspool/core/EventLoop.h"
+#include "daisyspool/http/Types.h"
 #include "daisyspool/runner/Sync.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace daisyspool::leadership {
 
+/// No usable answer; the message may or may not have arrived.
+struct SyncFailed {
+  std::string Detail;
+};
+using SyncOutcome = std::variant<runner::SyncReply, SyncFailed>;
+
+/// The port that carries syncs to one agent.
+///
+/// Thread safety: call from the loop's thread; callbacks run there, each
+/// exactly once.
+class AgentChannel {
+public:
+  AgentChannel() = default;
+  AgentChannel(const AgentChannel &) = delete;
+  AgentChannel &operator=(const AgentChannel &) = delete;
+  virtual ~AgentChannel() = default;
+
+  virtual void exchange(const runner::SyncRequest &What, Millis Timeout,
+                        std::function<void(SyncOutcome)> Done) = 0;
+};
+
+/// Opens a channel to the agent at an address.
+using ChannelFactory =
+    std::function<std::unique_ptr<AgentChannel>(const http::Endpoint &Agent)>;
+
 /// The leader's conversations with all agents: one sync is always under way to
 /// each, and a further one when there are orders.
 ///
-/// Thread safety: call from the I/O thread only. Destroying it ends all
+/// Thread safety: call from the loop's thread only. Destroying it ends all
 /// conversations without further callbacks.
 class AgentLinks {
 public:
@@ -31,7 +54,7 @@
     std::function<void(const VmId &, std::uint64_t Number)> OnFailure;
   };
 
-  AgentLinks(boost::asio::io_context &Io, Hooks Callbacks);
+  AgentLinks(EventLoop &Loop, ChannelFactory Open, Hooks Callbacks);
   AgentLinks(const AgentLinks &) = delete;
   AgentLinks &operator=(const AgentLinks &) = delete;
   ~AgentLinks();
@@ -48,10 +71,6 @@
   std::shared_ptr<Impl> State;
 };
 
-/// The path and content type of a sync between our processes.
-inline constexpr const char *SyncPath = "/sync";
-inline constexpr const char *SyncContentType = "application/msgpack";
-
 } // namespace daisyspool::leadership
 
 #endif // DAISYSPOOL_LEADERSHIP_AGENTLINKS_H
--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -1,14 +1,12 @@
 #ifndef DAISYSPOOL_LEADERSHIP_LEADERDUTY_H
 #define DAISYSPOOL_LEADERSHIP_LEADERDUTY_H
 
+#include "daisyspool/core/EventLoop.h"
 #include "daisyspool/leadership/AgentLinks.h"
 #include "daisyspool/leadership/LeaderRecord.h"
 #include "daisyspool/rows/TableWatch.h"
 #include "daisyspool/scheduling/Scheduler.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -39,8 +37,8 @@
     scheduling::Scheduler::Options Scheduling;
   };
 
-  LeaderDuty(boost::asio::io_context &Io, const Clock &Time,
-             rows::RowStore &Store, Options Config);
+  LeaderDuty(EventLoop &Loop, const Clock &Time, rows::RowStore &Store,
+             ChannelFactory Open, Options Config);
   LeaderDuty(const LeaderDuty &) = delete;
   LeaderDuty &operator=(const LeaderDuty &) = delete;
   ~LeaderDuty();
@@ -88,9 +86,10 @@
   void tick();
   LeaderStatus ownStatus(bool Released) const;
 
-  boost::asio::io_context &Io;
+  EventLoop &Loop;
   const Clock &Time;
   rows::RowStore &Store;
+  ChannelFactory Open;
   Options Config;
   workload::FleetConfig Fleet;
   LeaderStatus Status;
@@ -101,7 +100,7 @@
   std::optional<LeaderIdentity> Term;
   std::unique_ptr<Reign> Current;
   rows::TableWatch StatusWatch;
-  boost::asio::steady_timer Tick;
+  std::unique_ptr<Timer> Tick;
 };
 
 } // namespace daisyspool::leadership
--- a/include/daisyspool/leadership/leadership.h
+++ b/include/daisyspool/leadership/leadership.h
@@ -2,6 +2,7 @@
 //
 //   LeaderRecord.h  the fence row and the leader's public status
 //   AgentLinks.h    the leader's conversations with the agents
+//   HttpChannel.h   carries them over HTTP
 //   LeaderDuty.h    follows, takes over, leads
 //
 // See LeaderDuty.h next.
@@ -9,6 +10,7 @@
 #define DAISYSPOOL_LEADERSHIP_LEADERSHIP_H
 
 #include "daisyspool/leadership/AgentLinks.h"
+#include "daisyspool/leadership/HttpChannel.h"
 #include "daisyspool/leadership/LeaderDuty.h"
 #include "daisyspool/leadership/LeaderRecord.h"
 
--- /dev/null
+++ b/include/daisyspool/process/AsioLoop.h
@@ -0,0 +1,24 @@
+#ifndef DAISYSPOOL_PROCESS_ASIOLOOP_H
+#define DAISYSPOOL_PROCESS_ASIOLOOP_H
+
+#include "daisyspool/core/EventLoop.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace daisyspool {
+
+/// An EventLoop on the thread that runs \p Io.
+class AsioLoop final : public EventLoop {
+public:
+  explicit AsioLoop(boost::asio::io_context &Io) : Io(Io) {}
+
+  std::unique_ptr<Timer> timer() override;
+  void post(std::function<void()> What) override;
+
+private:
+  boost::asio::io_context &Io;
+};
+
+} // namespace daisyspool
+
+#endif // DAISYSPOOL_PROCESS_ASIOLOOP_H
--- a/include/daisyspool/rows/TableWatch.h
+++ b/include/daisyspool/rows/TableWatch.h
@@ -1,11 +1,9 @@
 #ifndef DAISYSPOOL_ROWS_TABLEWATCH_H
 #define DAISYSPOOL_ROWS_TABLEWATCH_H
 
+#include "daisyspool/core/EventLoop.h"
 #include "daisyspool/rows/RowStore.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -33,7 +31,7 @@
 
   /// Calls \p OnRows with the rows and then with each set of changes; the
   /// first call may have no rows.
-  TableWatch(boost::asio::io_context &Io, const Clock &Time, RowStore &Store,
+  TableWatch(EventLoop &Loop, const Clock &Time, RowStore &Store,
              Options Config, RowsCallback OnRows);
   TableWatch(const TableWatch &) = delete;
   TableWatch &operator=(const TableWatch &) = delete;
--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -1,14 +1,12 @@
 #ifndef DAISYSPOOL_RUNNER_AGENTSESSION_H
 #define DAISYSPOOL_RUNNER_AGENTSESSION_H
 
+#include "daisyspool/core/EventLoop.h"
 #include "daisyspool/runner/FillPacer.h"
 #include "daisyspool/runner/LeaseClock.h"
 #include "daisyspool/runner/Sync.h"
 #include "daisyspool/runner/WorkerPort.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,8 +46,8 @@
   };
   using ReplyCallback = std::function<void(SyncReply)>;
 
-  AgentSession(boost::asio::io_context &Io, const Clock &Time,
-               WorkerPort &Worker, Options Config);
+  AgentSession(EventLoop &Loop, const Clock &Time, WorkerPort &Worker,
+               Options Config);
   AgentSession(const AgentSession &) = delete;
   AgentSession &operator=(const AgentSession &) = delete;
   ~AgentSession();
@@ -113,7 +111,7 @@
   std::optional<WorkerClock> grantedLease();
   TargetId workerId() const;
 
-  boost::asio::io_context &Io;
+  EventLoop &Loop;
   const Clock &Time;
   WorkerPort &Port;
   Options Config;
@@ -149,8 +147,8 @@
   bool HasNews = false;
   bool Closed = false;
   ReplyCallback Waiting;
-  boost::asio::steady_timer WaitTimer;
-  boost::asio::steady_timer HoldTimer;
+  std::unique_ptr<Timer> WaitTimer;
+  std::unique_ptr<Timer> HoldTimer;
 };
 
 } // namespace daisyspool::runner
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -4,8 +4,6 @@
 #include "daisyspool/intake/Layout.h"
 #include "daisyspool/telemetry/Log.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 
 namespace daisyspool::intake {
@@ -27,8 +25,8 @@
 
 /// A submission that is not settled.
 struct JobIntake::Submission {
-  Submission(boost::asio::io_context &Io, const workload::JobRecord &Job)
-      : Id(Job.Id), Value(workload::encodeJob(Job)), Timer(Io) {}
+  Submission(EventLoop &Loop, const workload::JobRecord &Job)
+      : Id(Job.Id), Value(workload::encodeJob(Job)), Pause(Loop.timer()) {}
 
   JobId Id;
   std::string Value;
@@ -38,21 +36,21 @@
   bool MayBeStored = false;
   int Attempts = 0;
   std::function<void(SubmitOutcome)> Done;
-  boost::asio::steady_timer Timer;
+  std::unique_ptr<Timer> Pause;
 };
 
 struct JobIntake::Cancellation {
-  explicit Cancellation(boost::asio::io_context &Io) : Timer(Io) {}
+  explicit Cancellation(EventLoop &Loop) : Pause(Loop.timer()) {}
 
   JobId Id;
   TimePoint Deadline{};
   std::function<void(CancelOutcome)> Done;
-  boost::asio::steady_timer Timer;
+  std::unique_ptr<Timer> Pause;
 };
 
 void JobIntake::submit(const workload::JobRecord &Job, Millis Patience,
                        std::function<void(SubmitOutcome)> Done) {
-  auto What = std::make_shared<Submission>(Io, Job);
+  auto What = std::make_shared<Submission>(Loop, Job);
   What->Begun = Time.now();
   What->Deadline = What->Begun + Patience;
   What->Done = std::move(Done);
@@ -105,9 +103,8 @@
 }
 
 void JobIntake::again(const std::shared_ptr<Submission> &What) {
-  What->Timer.expires_after(RetryPause);
-  What->Timer.async_wait([this, What](boost::system::error_code Failure) {
-    if (!Failure)
+  What->Pause->start(RetryPause, [this, What, Self = std::weak_ptr(Alive)] {
+    if (!Self.expired())
       attempt(What);
   });
 }
@@ -149,7 +146,7 @@
 
 void JobIntake::cancel(const JobId &Job, Millis Patience,
                        std::function<void(CancelOutcome)> Done) {
-  auto What = std::make_shared<Cancellation>(Io);
+  auto What = std::make_shared<Cancellation>(Loop);
   What->Id = Job;
   What->Deadline = Time.now() + Patience;
   What->Done = std::move(Done);
@@ -173,11 +170,11 @@
         }
         if (Time.now() + RetryPause >= What->Deadline)
           return What->Done(Unavailable{});
-        What->Timer.expires_after(RetryPause);
-        What->Timer.async_wait([this, What](boost::system::error_code Failure) {
-          if (!Failure)
-            writeCancel(What);
-        });
+        What->Pause->start(RetryPause,
+                           [this, What, Self = std::weak_ptr(Alive)] {
+                             if (!Self.expired())
+                               writeCancel(What);
+                           });
       });
 }
 
--- a/src/leadership/AgentLinks.cpp
+++ b/src/leadership/AgentLinks.cpp
@@ -2,6 +2,9 @@
 
 #include "daisyspool/telemetry/Log.h"
 
+#include <map>
+#include <utility>
+
 namespace daisyspool::leadership {
 
 namespace {
@@ -16,43 +19,30 @@
 /// answer is on its way.
 constexpr std::size_t MaxOutstanding = 4;
 
-std::string textOf(const std::exception_ptr &Failure) {
-  try {
-    std::rethrow_exception(Failure);
-  } catch (const std::exception &Problem) {
-    return Problem.what();
-  }
-}
-
 } // namespace
 
 struct AgentLinks::Link {
-  Link(boost::asio::io_context &Io, const http::Endpoint &Agent)
-      : Agent(Agent), Timer(Io) {
-    http::Client::Options Options;
-    Options.Server = Agent;
-    Options.MaxConnections = MaxOutstanding;
-    Client = std::make_unique<http::Client>(Io, Options);
-  }
-
   http::Endpoint Agent;
-  std::unique_ptr<http::Client> Client;
+  std::unique_ptr<AgentChannel> Channel;
+  std::unique_ptr<Timer> Pause;
   std::size_t Outstanding = 0;
   bool Up = false;
-  boost::asio::steady_timer Timer;
 };
 
 class AgentLinks::Impl : public std::enable_shared_from_this<Impl> {
 public:
-  Impl(boost::asio::io_context &Io, Hooks Callbacks)
-      : Io(Io), Callbacks(std::move(Callbacks)) {}
+  Impl(EventLoop &Loop, ChannelFactory Open, Hooks Callbacks)
+      : Loop(Loop), Open(std::move(Open)), Callbacks(std::move(Callbacks)) {}
 
   void connect(const VmId &Vm, const http::Endpoint &Agent) {
     auto &Current = Links[Vm];
     if (Current && Current->Agent == Agent)
       return;
 
-    Current = std::make_shared<Link>(Io, Agent);
+    Current = std::make_shared<Link>();
+    Current->Agent = Agent;
+    Current->Channel = Open(Agent);
+    Current->Pause = Loop.timer();
     send(Vm, Current);
   }
 
@@ -64,13 +54,13 @@
 
   void close() {
     Closed = true;
-    for (auto &[Vm, Each] : Links)
-      Each->Timer.cancel();
     Links.clear();
   }
 
 private:
-  void send(const VmId &Vm, const std::shared_ptr<Link> &Through) {
+  using LinkPtr = std::shared_ptr<Link>;
+
+  void send(const VmId &Vm, const LinkPtr &Through) {
     if (Closed || Through->Outstanding >= MaxOutstanding)
       return;
     auto What = Callbacks.Next(Vm);
@@ -78,83 +68,56 @@
       return later(Vm, Through, HoldBack);
 
     ++Through->Outstanding;
-    http::Request Request{"POST",
-                          SyncPath,
-                          {{"Content-Type", SyncContentType}},
-                          runner::encode(*What)};
-    Through->Client->send(
-        std::move(Request), What->Wait + AnswerSlack,
-        [Self = shared_from_this(), Vm, Through, Number = What->Number](
-            const http::Response &Answer, const std::exception_ptr &Failure) {
+    Through->Channel->exchange(
+        *What, What->Wait + AnswerSlack,
+        [Self = shared_from_this(), Vm, Through,
+         Number = What->Number](const SyncOutcome &Outcome) {
           --Through->Outstanding;
-          if (!Self->Closed)
-            Self->onAnswer(Vm, Through, Number, Answer, Failure);
+          auto Current = Self->Links.find(Vm);
+          if (Current != Self->Links.end() && Current->second == Through)
+            Self->onOutcome(Vm, Through, Number, Outcome);
         });
   }
 
-  void onAnswer(const VmId &Vm, const std::shared_ptr<Link> &Through,
-                std::uint64_t Number, const http::Response &Answer,
-                const std::exception_ptr &Failure) {
-    auto Current = Links.find(Vm);
-    if (Current == Links.end() || Current->second != Through)
-      return;
-    std::string Detail;
-    if (Failure)
-      Detail = textOf(Failure);
-    else if (Answer.Status != 200)
-      Detail = "status " + std::to_string(Answer.Status);
-    else
-      Detail = take(Vm, Number, Answer.Body);
-    if (Closed)
-      return;
-
-    if (Detail.empty()) {
+  void onOutcome(const VmId &Vm, const LinkPtr &Through, std::uint64_t Number,
+                 const SyncOutcome &Outcome) {
+    if (const auto *Reply = std::get_if<runner::SyncReply>(&Outcome)) {
       if (!std::exchange(Through->Up, true))
         LogEvent(LogLevel::Info, "agent_up").with("vm", Vm);
-      if (Through->Outstanding == 0)
+      Callbacks.OnReply(Vm, Number, *Reply);
+      if (!Closed && Through->Outstanding == 0)
         send(Vm, Through);
       return;
     }
     if (std::exchange(Through->Up, false))
       LogEvent(LogLevel::Warning, "agent_down")
           .with("vm", Vm)
-          .with("detail", Detail);
+          .with("detail", std::get<SyncFailed>(Outcome).Detail);
     Callbacks.OnFailure(Vm, Number);
     later(Vm, Through, RetryPause);
   }
 
-  /// Passes an answer on; returns what is wrong with it.
-  std::string take(const VmId &Vm, std::uint64_t Number,
-                   const std::string &Body) {
-    try {
-      runner::SyncReply Reply = runner::decodeSyncReply(Body);
-      Callbacks.OnReply(Vm, Number, Reply);
-      return {};
-    } catch (const ProtocolError &Problem) {
-      return Problem.what();
-    }
-  }
-
-  void later(const VmId &Vm, const std::shared_ptr<Link> &Through,
-             Millis Pause) {
-    Through->Timer.expires_after(Pause);
-    Through->Timer.async_wait([Self = shared_from_this(), Vm,
-                               Through](boost::system::error_code Failure) {
-      auto Current = Self->Links.find(Vm);
-      bool Same = Current != Self->Links.end() && Current->second == Through;
-      if (!Failure && Same && Through->Outstanding == 0)
-        Self->send(Vm, Through);
+  void later(const VmId &Vm, const LinkPtr &Through, Millis Pause) {
+    if (Closed)
+      return;
+    Through->Pause->start(Pause, [Self = shared_from_this(), Vm,
+                                  Weak = std::weak_ptr<Link>(Through)] {
+      auto Again = Weak.lock();
+      if (Again && Again->Outstanding == 0)
+        Self->send(Vm, Again);
     });
   }
 
-  boost::asio::io_context &Io;
+  EventLoop &Loop;
+  ChannelFactory Open;
   Hooks Callbacks;
-  std::map<VmId, std::shared_ptr<Link>> Links;
+  std::map<VmId, LinkPtr> Links;
   bool Closed = false;
 };
 
-AgentLinks::AgentLinks(boost::asio::io_context &Io, Hooks Callbacks)
-    : State(std::make_shared<Impl>(Io, std::move(Callbacks))) {}
+AgentLinks::AgentLinks(EventLoop &Loop, ChannelFactory Open, Hooks Callbacks)
+    : State(std::make_shared<Impl>(Loop, std::move(Open),
+                                   std::move(Callbacks))) {}
 
 AgentLinks::~AgentLinks() { State->close(); }
 
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -3,8 +3,6 @@
 #include "daisyspool/intake/Layout.h"
 #include "daisyspool/telemetry/Log.h"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 
 namespace daisyspool::leadership {
@@ -42,8 +40,8 @@
 };
 
 struct LeaderDuty::Reign {
-  Reign(boost::asio::io_context &Io, const Scheduler::Options &Scheduling)
-      : Jobs(Scheduling), Group(Io), Retry(Io) {}
+  Reign(EventLoop &Loop, const Scheduler::Options &Scheduling)
+      : Jobs(Scheduling), Group(Loop.timer()), Retry(Loop.timer()) {}
 
   Scheduler Jobs;
   Fence Mine;
@@ -57,19 +55,21 @@
   std::map<VmId, http::Endpoint> Agents;
   std::unique_ptr<AgentLinks> Links;
   std::unique_ptr<rows::TableWatch> Intake;
-  boost::asio::steady_timer Group;
-  boost::asio::steady_timer Retry;
+  std::unique_ptr<Timer> Group;
+  std::unique_ptr<Timer> Retry;
 };
 
-LeaderDuty::LeaderDuty(boost::asio::io_context &Io, const Clock &Time,
-                       rows::RowStore &Store, Options Config)
-    : Io(Io), Time(Time), Store(Store), Config(std::move(Config)),
-      StatusWatch(Io, Time, Store,
+LeaderDuty::LeaderDuty(EventLoop &Loop, const Clock &Time,
+                       rows::RowStore &Store, ChannelFactory Open,
+                       Options Config)
+    : Loop(Loop), Time(Time), Store(Store), Open(std::move(Open)),
+      Config(std::move(Config)),
+      StatusWatch(Loop, Time, Store,
                   {intake::LeaderTable, intake::LeaderPartition, StatusWait},
                   [this](const std::vector<rows::StoredRow> &Rows) {
                     onStatusRows(Rows);
                   }),
-      Tick(Io) {
+      Tick(Loop.timer()) {
   tick();
 }
 
@@ -109,9 +109,8 @@
 }
 
 void LeaderDuty::tick() {
-  Tick.expires_after(TickInterval);
-  Tick.async_wait([this](boost::system::error_code Failure) {
-    if (Failure || Closed)
+  Tick->start(TickInterval, [this] {
+    if (Closed)
       return;
     checkLeader();
     if (Current && Current->Loaded)
@@ -235,7 +234,7 @@
   Status.Leader = Mine.Leader;
   Status.Released = false;
   StatusChanged = Time.now();
-  Current = std::make_unique<Reign>(Io, Config.Scheduling);
+  Current = std::make_unique<Reign>(Loop, Config.Scheduling);
   Current->Mine = Mine;
   Current->FenceVersion = Version;
   Current->LeaseStart = Begun;
@@ -245,7 +244,7 @@
       .with("epoch", Mine.Leader.Term)
       .with("fence_version", Version);
   Current->Intake = std::make_unique<rows::TableWatch>(
-      Io, Time, Store,
+      Loop, Time, Store,
       rows::TableWatch::Options{intake::IntakeTable, intake::IntakePartition},
       [this](const std::vector<rows::StoredRow> &Rows) { onIntakeRows(Rows); });
 }
@@ -308,9 +307,8 @@
                             const std::string &From) {
   const auto *Page = std::get_if<rows::RowPage>(&Outcome);
   if (!Page) {
-    Current->Retry.expires_after(RetryPause);
-    Current->Retry.async_wait([this, From](boost::system::error_code Failure) {
-      if (!Failure && Current)
+    Current->Retry->start(RetryPause, [this, From] {
+      if (Current)
         readProgress(From);
     });
     return;
@@ -366,7 +364,7 @@
     if (Current)
       Current->Jobs.noteSyncFailed(Vm, Number);
   };
-  Current->Links = std::make_unique<AgentLinks>(Io, std::move(Hooks));
+  Current->Links = std::make_unique<AgentLinks>(Loop, Open, std::move(Hooks));
   for (const auto &[Vm, Agent] : Current->Agents)
     Current->Links->connect(Vm, Agent);
 }
@@ -379,9 +377,8 @@
   if (!Current || !Current->Loaded || std::exchange(Current->Poked, true))
     return;
 
-  Current->Group.expires_after(GroupDelay);
-  Current->Group.async_wait([this](boost::system::error_code Failure) {
-    if (Failure || !Current)
+  Current->Group->start(GroupDelay, [this] {
+    if (!Current)
       return;
     Current->Poked = false;
     work();
@@ -462,9 +459,8 @@
                            ? "yes"
                            : "no");
   // The same transaction again: its condition lets it be applied only once.
-  Current->Retry.expires_after(RetryPause);
-  Current->Retry.async_wait([this, What](boost::system::error_code Failure) {
-    if (!Failure && Term == What->Mine.Leader && Current)
+  Current->Retry->start(RetryPause, [this, What] {
+    if (Term == What->Mine.Leader && Current)
       send(What);
   });
 }
@@ -498,13 +494,13 @@
       .with("cause", Cause);
   Term.reset();
   // The caller may be a callback of something that the reign owns.
-  boost::asio::post(Io, [Old = std::shared_ptr<Reign>(std::move(Current))] {});
+  Loop.post([Old = std::shared_ptr<Reign>(std::move(Current))] {});
   StatusChanged = Time.now();
 }
 
 void LeaderDuty::close(std::function<void()> Done) {
   Closed = true;
-  Tick.cancel();
+  Tick->cancel();
   if (!Term || !Current->Loaded || Current->Committing) {
     stepDown("closing");
     return Done();
--- a/src/rows/TableWatch.cpp
+++ b/src/rows/TableWatch.cpp
@@ -18,10 +18,10 @@
 
 class TableWatch::Impl : public std::enable_shared_from_this<Impl> {
 public:
-  Impl(boost::asio::io_context &Io, const Clock &Time, RowStore &Store,
-       Options Config, RowsCallback OnRows)
+  Impl(EventLoop &Loop, const Clock &Time, RowStore &Store, Options Config,
+       RowsCallback OnRows)
       : Time(Time), Store(Store), Config(std::move(Config)),
-        OnRows(std::move(OnRows)), Timer(Io) {}
+        OnRows(std::move(OnRows)), Pause(Loop.timer()) {}
 
   void readAll(const std::string &From) {
     Store.read({Config.Table, Config.Partition, From, {}}, ReadTimeout,
@@ -32,7 +32,7 @@
 
   void close() {
     Closed = true;
-    Timer.cancel();
+    Pause->cancel();
   }
 
   TimePoint LastAnswer{};
@@ -107,28 +107,26 @@
   }
 
   template <typename Action> void again(Action What) {
-    Timer.expires_after(RetryPause);
-    Timer.async_wait(
-        [Self = shared_from_this(), What](boost::system::error_code Failure) {
-          if (!Failure && !Self->Closed)
-            What();
-        });
+    Pause->start(RetryPause, [Self = shared_from_this(), What] {
+      if (!Self->Closed)
+        What();
+    });
   }
 
   const Clock &Time;
   RowStore &Store;
   Options Config;
   RowsCallback OnRows;
-  boost::asio::steady_timer Timer;
+  std::unique_ptr<Timer> Pause;
   std::vector<StoredRow> Pages;
   RowVersion Version;
   bool Failing = false;
   bool Closed = false;
 };
 
-TableWatch::TableWatch(boost::asio::io_context &Io, const Clock &Time,
-                       RowStore &Store, Options Config, RowsCallback OnRows)
-    : State(std::make_shared<Impl>(Io, Time, Store, std::move(Config),
+TableWatch::TableWatch(EventLoop &Loop, const Clock &Time, RowStore &Store,
+                       Options Config, RowsCallback OnRows)
+    : State(std::make_shared<Impl>(Loop, Time, Store, std::move(Config),
                                    std::move(OnRows))) {
   State->readAll("");
 }
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -47,7 +47,7 @@
 
 /// One start or stop that is not settled.
 struct AgentSession::Order {
-  explicit Order(boost::asio::io_context &Io) : Timer(Io) {}
+  explicit Order(EventLoop &Loop) : Pause(Loop.timer()) {}
 
   StartOrder What;
   bool HasStart = false;
@@ -60,15 +60,16 @@
   bool StopWanted = false;
   bool StopAccepted = false;
   bool InFlight = false;
-  boost::asio::steady_timer Timer;
+  std::unique_ptr<Timer> Pause;
 };
 
-AgentSession::AgentSession(boost::asio::io_context &Io, const Clock &Time,
+AgentSession::AgentSession(EventLoop &Loop, const Clock &Time,
                            WorkerPort &Worker, Options Config)
-    : Io(Io), Time(Time), Port(Worker), Config(Config),
+    : Loop(Loop), Time(Time), Port(Worker), Config(Config),
       Token(Config.Incarnation),
       // An earlier agent process may have extended the lease just before.
-      LeaseBound(Time.now() + Config.MaxLease), WaitTimer(Io), HoldTimer(Io) {
+      LeaseBound(Time.now() + Config.MaxLease), WaitTimer(Loop.timer()),
+      HoldTimer(Loop.timer()) {
   // Runs of an earlier agent process need their lease extended before the
   // worker's next announcement.
   hold();
@@ -182,11 +183,7 @@
     answerWaiting();
     return;
   }
-  WaitTimer.expires_after(What.Wait);
-  WaitTimer.async_wait([this](boost::system::error_code Failure) {
-    if (!Failure)
-      answerWaiting();
-  });
+  WaitTimer->start(What.Wait, [this] { answerWaiting(); });
 }
 
 void AgentSession::grant(const SyncRequest &What) {
@@ -218,11 +215,18 @@
   // A refusal stands: the leader may have sent the order again before it heard
   // of it, and starts the task elsewhere when it does.
   auto Given = RefusedUpTo.find(What.Name.Task);
-  if (Given != RefusedUpTo.end() && What.Name.Run <= Given->second)
+  if (Given != RefusedUpTo.end() && What.Name.Run <= Given->second) {
+    // A new leader may not have heard of it.
+    bool Listed = std::any_of(Refused.begin(), Refused.end(), [&](auto &Each) {
+      return Each.Name == What.Name;
+    });
+    if (!Listed)
+      refuse(What.Name, RefusalReason::Cancelled);
     return;
+  }
   if (Orders.count(What.Name) != 0 || listed(What.Name) || ended(What.Name))
     return;
-  auto Created = std::make_shared<Order>(Io);
+  auto Created = std::make_shared<Order>(Loop);
   Created->What = What;
   Created->HasStart = true;
   Created->FirstTry = Time.now();
@@ -236,7 +240,7 @@
 void AgentSession::takeStop(const RunName &What) {
   auto &Order = Orders[What];
   if (!Order)
-    Order = std::make_shared<AgentSession::Order>(Io);
+    Order = std::make_shared<AgentSession::Order>(Loop);
   Order->StopWanted = true;
   if (!Order->InFlight && !Order->StopAccepted)
     attemptStop(What);
@@ -375,10 +379,7 @@
     return;
 
   auto Order = Found->second;
-  Order->Timer.expires_after(Pause);
-  Order->Timer.async_wait([this, Name](boost::system::error_code Failure) {
-    if (Failure)
-      return;
+  Order->Pause->start(Pause, [this, Name] {
     auto Again = Orders.find(Name);
     if (Again == Orders.end())
       return;
@@ -429,11 +430,7 @@
 
 void AgentSession::holdLater(Millis Pause) {
   PausedHold = true;
-  HoldTimer.expires_after(Pause);
-  HoldTimer.async_wait([this](boost::system::error_code Failure) {
-    if (!Failure)
-      hold();
-  });
+  HoldTimer->start(Pause, [this] { hold(); });
 }
 
 void AgentSession::onHold(const HoldOutcome &Outcome, TimePoint SentAt,
@@ -568,9 +565,9 @@
     if (std::find(Harmless.begin(), Harmless.end(), Known->second.Image) !=
         Harmless.end())
       continue;
-    Worst = std::max(Worst, static_cast<double>(Task.Load) /
-                                static_cast<double>(
-                                    Known->second.TailTarget.count()));
+    Worst = std::max(Worst,
+                     static_cast<double>(Task.Load) /
+                         static_cast<double>(Known->second.TailTarget.count()));
   }
 
   return Worst;
@@ -646,11 +643,7 @@
   HasNews = true;
   // Answers after the present handler, so that one answer carries all of it.
   if (Waiting) {
-    WaitTimer.expires_after(Millis(0));
-    WaitTimer.async_wait([this](boost::system::error_code Failure) {
-      if (!Failure)
-        answerWaiting();
-    });
+    WaitTimer->start(Millis(0), [this] { answerWaiting(); });
   }
 }
 
@@ -658,7 +651,7 @@
   if (!Waiting)
     return;
 
-  WaitTimer.cancel();
+  WaitTimer->cancel();
   auto Reply = std::move(Waiting);
   Waiting = nullptr;
   HasNews = false;
@@ -689,7 +682,7 @@
 void AgentSession::close(std::function<void()> Done) {
   answerWaiting();
   Closed = true;
-  HoldTimer.cancel();
+  HoldTimer->cancel();
   HoldRequest Last;
   Last.LeaseEnd = grantedLease();
   Last.EndsRecorded = EndsRecorded;
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -312,8 +312,9 @@
                            Step.FillsIdleCpu,
                            Step.TailTarget,
                            stallBound(Step),
-                           Step.FillsIdleCpu ? Tails.harmlessTo(Step.Image, Now)
-                                             : std::vector<workload::ImageId>{}});
+                           Step.FillsIdleCpu
+                               ? Tails.harmlessTo(Step.Image, Now)
+                               : std::vector<workload::ImageId>{}});
   }
   return What;
 }
--- a/src/scheduling/TailModel.cpp
+++ b/src/scheduling/TailModel.cpp
@@ -29,8 +29,8 @@
 } // namespace
 
 TailModel::TailModel()
-    : Pairs(interference::InterferenceModel::Options{
-          MaxImages, 0.5, 0.1, Millis(900000)}) {}
+    : Pairs(interference::InterferenceModel::Options{MaxImages, 0.5, 0.1,
+                                                     Millis(900000)}) {}
 
 TailModel::Kind TailModel::kindOf(const workload::ImageId &Image) {
   auto Next = static_cast<std::uint32_t>(Kinds.size());
@@ -42,9 +42,9 @@
   for (const auto &[Task, Run] : Vm.Assigned) {
     if (Run.Filling <= MilliCores(0))
       continue;
-    double Presence = std::min(1.0, static_cast<double>(Run.Load) /
-                                        static_cast<double>(
-                                            Run.Filling.value()));
+    double Presence =
+        std::min(1.0, static_cast<double>(Run.Load) /
+                          static_cast<double>(Run.Filling.value()));
     if (Presence > LeastPresence)
       Filling.push_back({{}, kindOf(Run.Image), Presence, true});
   }
@@ -105,8 +105,7 @@
     return Result;
 
   for (const auto &[Serving, Usual] : Alone) {
-    auto Pair =
-        Pairs.pair(Kinds.at(Serving), Filling->second, OneBand, Now);
+    auto Pair = Pairs.pair(Kinds.at(Serving), Filling->second, OneBand, Now);
     if (Pair.Weight >= SureWeight && Pair.Excess < HarmlessExcess)
       Result.push_back(Serving);
   }
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -20,7 +20,8 @@
 
 namespace {
 
-/// Covers the decisions of the busiest entry today; beyond it lines are counted.
+/// Covers the decisions of the busiest entry today; beyond it lines are
+/// counted.
 constexpr int MaxLinesPerSecond = 200;
 
 struct RateWindow {
--- /dev/null
+++ b/tests/fleet/Oracle.h
@@ -0,0 +1,115 @@
+// What must hold whatever fails, as the workers see it: a task runs once at a
+// time, never again after a recorded end, after its predecessors, in its room.
+#ifndef DAISYSPOOL_TESTS_FLEET_ORACLE_H
+#define DAISYSPOOL_TESTS_FLEET_ORACLE_H
+
+#include "daisyspool/runner/WorkerPort.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisyspool::testing {
+
+struct TaskBehaviour;
+
+class Oracle {
+public:
+  std::vector<std::string> Violations;
+
+  void submitted(const workload::JobRecord &Job, Millis Work, bool Fails) {
+    Jobs[Job.Id] = {Job, Work, Fails};
+  }
+
+  void cancelled(const JobId &Job) { Cancelled.insert(Job); }
+
+  TaskBehaviour behaviour(const JobId &Job) const;
+
+  Resources held(const runner::TaskName &Task) const {
+    const auto &Step = Jobs.at(Task.Job).Record.Definition.Steps[Task.Step];
+    Resources Result = Step.Needs;
+    if (Step.FillsIdleCpu)
+      Result.Cpu = MilliCores(0);
+    return Result;
+  }
+
+  bool lasts(const runner::TaskName &Task) const {
+    return Jobs.at(Task.Job).Record.Definition.Steps[Task.Step].LongRunning;
+  }
+
+  void started(const std::string &Worker, const runner::RunName &Name,
+               const Resources &Capacity) {
+    auto Elsewhere = Running.find(Name.Task);
+    if (Elsewhere != Running.end())
+      violation("two runs at once", Name, Worker + " and " + Elsewhere->second);
+    if (Recorded.count(Name.Task) != 0)
+      violation("started after its recorded end", Name, Worker);
+    const auto &Steps = Jobs.at(Name.Task.Job).Record.Definition.Steps;
+    for (std::uint32_t Earlier : Steps[Name.Task.Step].After)
+      if (DoneTasks[{Name.Task.Job, Earlier}].size() < Steps[Earlier].Count)
+        violation("started before its predecessors", Name, Worker);
+    Running[Name.Task] = Worker;
+    Resources Sum;
+    for (const auto &[Task, Where] : Running)
+      if (Where == Worker)
+        Sum = Sum + held(Task);
+    if (!Sum.fitsIn(Capacity))
+      violation("over the worker's room", Name, Worker);
+    ++Starts;
+  }
+
+  void ended(const std::string &, const runner::RunName &Name,
+             runner::EndCause Cause) {
+    Running.erase(Name.Task);
+    if (Cause == runner::EndCause::Done)
+      DoneTasks[{Name.Task.Job, Name.Task.Step}].insert(Name.Task.Index);
+    if (Cause == runner::EndCause::Lapsed)
+      ++Lapses;
+  }
+
+  void gone(const std::string &, const runner::TaskName &Task) {
+    Running.erase(Task);
+  }
+
+  /// An end was taken off the worker's list. One from before a lapse of the
+  /// worker's lease is void.
+  void noted(const runner::EndedTask &End, runner::EndNumber LapsedUpTo) {
+    if (End.Cause == runner::EndCause::Done && End.Number > LapsedUpTo)
+      Recorded.insert(End.Name.Task);
+  }
+
+  bool isRunning(const JobId &Job) const {
+    for (const auto &[Task, Worker] : Running)
+      if (Task.Job == Job)
+        return true;
+    return false;
+  }
+  std::size_t runningCount() const { return Running.size(); }
+
+  std::size_t Starts = 0;
+  std::size_t Lapses = 0;
+
+private:
+  struct Submitted {
+    workload::JobRecord Record;
+    Millis Work{0};
+    bool Fails = false;
+  };
+
+  void violation(const std::string &What, const runner::RunName &Name,
+                 const std::string &Where) {
+    Violations.push_back(What + ": " + workload::toString(Name.Task) + " run " +
+                         std::to_string(Name.Run.value()) + " on " + Where);
+  }
+
+  std::map<JobId, Submitted> Jobs;
+  std::set<JobId> Cancelled;
+  std::map<runner::TaskName, std::string> Running;
+  std::set<runner::TaskName> Recorded;
+  std::map<std::pair<JobId, std::uint32_t>, std::set<std::uint32_t>> DoneTasks;
+};
+
+} // namespace daisyspool::testing
+
+#endif // DAISYSPOOL_TESTS_FLEET_ORACLE_H
