Group serving tasks by image, so that batch finds VMs it does not disturb

Cause: services of all images shared every VM; a filling task disturbs only some images, so nowhere was a VM that it left alone. Ruled out: processors, and the learned pairs (they tell the images apart). Change: a serving task goes where fewest serving tasks of other images are, at most half of one service to a VM.

--- a/include/daisyspool/scheduling/VmChoice.h
+++ b/include/daisyspool/scheduling/VmChoice.h
@@ -37,8 +37,9 @@
 ///
 /// Load patterns: short urgent tasks are packed (best fit on processors), so
 /// that wide holes stay for the large ones in a burst of long tasks; serving
-/// tasks are spread, so that one lost VM takes few of a job; filling tasks go
-/// where most processors are idle, as they slow each other down otherwise.
+/// tasks are grouped by image, so that batch that fills finds VMs with services
+/// that it leaves alone; filling tasks go where the expected tail is least, then
+/// where most processors are idle.
 VmState *chooseVm(std::vector<VmState *> &Vms, const VmRequest &Request,
                   TimePoint Now);
 
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -50,6 +50,16 @@
          Request.Tails->predict(Vm, Request.Step->Image, Now) < MaxTail;
 }
 
+/// Serving tasks of other images.
+std::int64_t strangersOn(const VmState &Vm,
+                         const workload::StepDefinition &Step) {
+  return std::count_if(Vm.Assigned.begin(), Vm.Assigned.end(),
+                       [&](const auto &Each) {
+                         return Each.second.TailTarget > Millis(0) &&
+                                Each.second.Image != Step.Image;
+                       });
+}
+
 /// Smaller is better.
 using Score = std::tuple<bool, bool, std::int64_t, std::int64_t>;
 
@@ -64,7 +74,8 @@
                 Request.Tails->predict(Vm, Step.Image, Now) * 10),
             -idleCpu(Vm)};
   if (Step.LongRunning)
-    return {avoided(Vm, Request), Far, siblingsOn(Vm, Request), -idleCpu(Vm)};
+    return {avoided(Vm, Request), Far, strangersOn(Vm, Step),
+            Vm.free().Cpu.value()};
   return {avoided(Vm, Request), Far, 0, Vm.free().Cpu.value()};
 }
 
@@ -107,6 +118,9 @@
     return false;
   if (Step.MaxPerVm != 0 && siblingsOn(Vm, Request) >= Step.MaxPerVm)
     return false;
+  // One lost VM takes at most half of a service.
+  if (Step.LongRunning && siblingsOn(Vm, Request) * 2 >= Step.Count + 1)
+    return false;
   return Now >= Vm.ProbationUntil || Vm.Assigned.empty();
 }
 
