Steer filling to 0.8 of a service's target

Cause: at 0.9 a swing of the service's own load takes it beyond the target, and a service that batch takes there costs its users four times the batch's gain. Ruled out: lower aims were not tried. Change: pace falls from 0.88, aims at 0.8, rises below 0.75; filling tasks are added up to an expected 0.8.

--- a/include/daisyspool/runner/FillPacer.h
+++ b/include/daisyspool/runner/FillPacer.h
@@ -26,16 +26,16 @@
   std::uint32_t percent() const { return Percent; }
 
   /// Below this quotient the share may rise.
-  static constexpr double SpeedUpBelow = 0.85;
+  static constexpr double SpeedUpBelow = 0.75;
 
 private:
   /// The tail is a figure of half a second; an effect shows after that.
   static constexpr Millis EffectDelay{700};
   /// Above this quotient the share falls; the gap keeps a rough figure from
   /// moving it back and forth.
-  static constexpr double SlowDownAt = 0.95;
+  static constexpr double SlowDownAt = 0.88;
   /// Where the quotient is steered.
-  static constexpr double Aim = 0.9;
+  static constexpr double Aim = 0.8;
   static constexpr double LeastFactor = 0.4;
   /// Percent gained per unit of the quotient that is left, and at most.
   static constexpr double StepPerTail = 80;
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -16,7 +16,7 @@
 
 /// No filling task is added where the tail of a service is expected beyond this
 /// part of its target: it would be slowed down again at once.
-constexpr double MaxTail = 0.9;
+constexpr double MaxTail = 0.8;
 
 bool hasLabel(const VmState &Vm, const workload::LabelId &Label) {
   const auto &Labels = Vm.Worker->Labels;
