--- a/src/scheduling/TailModel.cpp
+++ b/src/scheduling/TailModel.cpp
@@ -23,6 +23,8 @@
 constexpr double AloneRate = 0.05;
 /// A figure covers half a second and arrives with the next sync.
 constexpr Millis FigureDelay{900};
+/// Quotients beyond it are not taken as the neighbours' doing.
+constexpr double MaxLearned = 2.5;
 /// Share of a filling task's processors below which it hardly works.
 constexpr double LeastPresence = 0.05;
 
@@ -53,6 +55,10 @@
       continue;
     double Quotient = static_cast<double>(Run.Load) /
                       static_cast<double>(Run.TailTarget.count());
+    // Load pattern: a worker that turns slow or stands still has tails of many
+    // times the target, which no neighbour causes.
+    if (Quotient > MaxLearned)
+      continue;
     Kind Serving = kindOf(Run.Image);
     auto [Usual, New] = Alone.try_emplace(Run.Image, Quotient);
     if (Filling.empty())
