--- /dev/null
+++ b/tests/intake/JobIntakeTest.cpp
@@ -0,0 +1,101 @@
+#include "daisyspool/intake/intake.h"
+
+#include "fleet/VirtualFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+using namespace daisyspool::intake;
+using namespace daisyspool::testing;
+
+namespace {
+
+struct Fixture {
+  std::mt19937_64 Random{1};
+  VirtualLoop Loop;
+  VirtualStore Store{Loop, Random};
+  Life Alive = std::make_shared<bool>(true);
+  StoreConnection Port{Store, "p", Alive};
+  JobIntake Intake{Loop, Loop, Port};
+  std::optional<SubmitOutcome> Answer;
+  TimePoint AnsweredAt{};
+
+  void submit(const std::string &Id) {
+    Answer.reset();
+    Intake.submit(chainJob(Id, 1, 1), Millis(2500),
+                  [this](const SubmitOutcome &Outcome) {
+                    Answer = Outcome;
+                    AnsweredAt = Loop.now();
+                  });
+  }
+
+  bool stored(const std::string &Id) const {
+    return !Store.page(exactly(jobRow(JobId(Id)))).Rows.empty();
+  }
+};
+
+} // namespace
+
+// Guards against a second job for a repeated request.
+TEST_CASE("a repeated submission is one job") {
+  Fixture Setup;
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(100));
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(100));
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+  REQUIRE(Setup.Store.version() == rows::RowVersion(1));
+}
+
+// Guards against a caller that is kept until its deadline although the store
+// surely did nothing.
+TEST_CASE("a store that turns calls away is a quick and true refusal") {
+  Fixture Setup;
+  Setup.Store.Down = true;
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(800));
+  REQUIRE(std::holds_alternative<Refused>(*Setup.Answer));
+  Setup.Store.Down = false;
+  Setup.Loop.runFor(Millis(10000));
+  REQUIRE_FALSE(Setup.stored("a"));
+}
+
+// Guards against a refusal of a job whose write is applied seconds later.
+TEST_CASE("a submission without an answer is never refused") {
+  Fixture Setup;
+  Setup.Store.LostAnswers = 1;
+  Setup.Store.LostAreLate = true;
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(1500));
+  Setup.Store.Down = true;
+  Setup.Loop.runFor(Millis(3000));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Undecided>(*Setup.Answer));
+}
+
+// Guards against 410 for a job that exists, and against a cancellation of one
+// that does not.
+TEST_CASE("status and cancellation tell known from unknown jobs") {
+  Fixture Setup;
+  std::optional<StatusOutcome> Status;
+  std::optional<CancelOutcome> Cancel;
+  auto Ask = [&](const std::string &Id) {
+    Setup.Intake.status(JobId(Id), Millis(1000),
+                        [&](const StatusOutcome &What) { Status = What; });
+    Setup.Intake.cancel(JobId(Id), Millis(1000),
+                        [&](const CancelOutcome &What) { Cancel = What; });
+    Setup.Loop.runFor(Millis(200));
+  };
+  Ask("none");
+  REQUIRE(std::holds_alternative<NoSuchJob>(*Status));
+  REQUIRE(std::holds_alternative<NoSuchJob>(*Cancel));
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(100));
+  Ask("a");
+  REQUIRE(std::get<Known>(*Status).Status == scheduling::JobStatus::Queued);
+  REQUIRE(std::holds_alternative<CancelAccepted>(*Cancel));
+  Setup.Store.Down = true;
+  Ask("a");
+  REQUIRE(std::holds_alternative<Unavailable>(*Status));
+}
--- /dev/null
+++ b/tests/platform_adapter/DecodeTest.cpp
@@ -0,0 +1,76 @@
+#include "Decode.h"
+#include "WorkerClient.h"
+
+#include "daisyspool/core/Errors.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+using namespace daisyspool::platform;
+
+// Guards against a field of a caller's job that is lost or taken for another.
+TEST_CASE("a caller's job is decoded whole") {
+  auto Job = decodeJobBody(
+      R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256,)"
+      R"("estimated_ms":900,"affinity":"r1-3","anti_affinity":2},)"
+      R"({"count":20,"cpu":2000,"after":[0],"checkpointing":true,)"
+      R"("fills":true,"image":"i","target_ms":125,"may_miss":1}],)"
+      R"("repetitions":3,"first_run_ms":1000,"interval_ms":2000})");
+  REQUIRE(Job.Spec == "s");
+  REQUIRE(Job.Steps.size() == 2);
+  REQUIRE(Job.Steps[0].PreferredRack == RackId("r1-3"));
+  REQUIRE(Job.Steps[0].MaxPerVm == 2);
+  REQUIRE(Job.Steps[1].Checkpoints);
+  REQUIRE(Job.Steps[1].FillsIdleCpu);
+  REQUIRE(Job.Steps[1].TailTarget == Millis(125));
+  REQUIRE(Job.Steps[1].MaxUnavailable == 1);
+  REQUIRE(Job.Repeats.Times == 3);
+}
+
+// Guards against a body that ends the process or is accepted as nonsense.
+TEST_CASE("malformed jobs are typed errors") {
+  for (const char *Bad :
+       {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+        R"({"steps":[{"count":"x"}]})", R"({"steps":[{"after":[0]}]})",
+        R"({"steps":[{"count":1},{"after":[1]}]})",
+        R"({"steps":[{"count":6000}]})", R"({"steps":5})"})
+    REQUIRE_THROWS_AS(decodeJobBody(Bad), ProtocolError);
+}
+
+// Guards against an announcement from another writer that names a worker.
+TEST_CASE("malformed announcements name no worker") {
+  const std::string Good =
+      R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v",)"
+      R"("slots":8,"state":"ready","cold_remaining_ms":0,)"
+      R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+      R"("labels":["a","r1-3"],"clock_ms":5,"sequence":4,"born":77})";
+  auto Known = decodeAnnouncement("i-1", Good);
+  REQUIRE(Known.Worker.Life == runner::WorkerLife(77));
+  REQUIRE_FALSE(Known.Worker.Draining);
+  REQUIRE(Known.Worker.Capacity.Cpu == MilliCores(16000));
+  for (const char *Field : {"service", "zone", "state", "capacity", "labels",
+                            "clock_ms", "sequence", "born"}) {
+    std::string Bad = Good;
+    Bad.replace(Bad.find(Field), 1, "_");
+    REQUIRE_THROWS_AS(decodeAnnouncement("i-1", Bad), ProtocolError);
+  }
+  std::string Strange = Good;
+  Strange.replace(Strange.find("ready"), 5, "dizzy");
+  REQUIRE_THROWS_AS(decodeAnnouncement("i-1", Strange), ProtocolError);
+  REQUIRE_THROWS_AS(decodeAnnouncement("i-1", "\xff"), ProtocolError);
+}
+
+// Guards against a configuration whose routes lose their policy.
+TEST_CASE("the operator's configuration is decoded") {
+  auto Config = decodeConfig(
+      R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
+      R"("service":"s","priority":2,"max_attempts":3,"slack_factor":2.0,)"
+      R"("target_latency_ms":1000}],"services":[{"name":"s",)"
+      R"("admission_check":true,"standby":false}],)"
+      R"("limits":{"max_body_bytes":1000}})");
+  REQUIRE(Config.Version == ConfigVersion(7));
+  REQUIRE(Config.route("h", "/p/x")->Policy.MaxAttempts == 3);
+  REQUIRE(Config.Services.at(0).ChecksAdmission);
+  REQUIRE(Config.MaxBodyBytes == 1000);
+  REQUIRE_THROWS_AS(decodeConfig("{}"), ProtocolError);
+}
--- /dev/null
+++ b/tests/rows/TableWatchTest.cpp
@@ -0,0 +1,71 @@
+#include "daisyspool/rows/TableWatch.h"
+
+#include "fleet/VirtualStore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+using namespace daisyspool::rows;
+using namespace daisyspool::testing;
+
+namespace {
+
+struct Watched {
+  std::mt19937_64 Random{1};
+  VirtualLoop Loop;
+  VirtualStore Store{Loop, Random};
+  Life Alive = std::make_shared<bool>(true);
+  StoreConnection Port{Store, "p", Alive};
+  std::map<std::string, std::string> Rows;
+  std::size_t Calls = 0;
+  std::unique_ptr<TableWatch> Watch;
+
+  void begin() {
+    Watch = std::make_unique<TableWatch>(
+        Loop, Loop, Port, TableWatch::Options{"t", {"a", "b"}},
+        [this](const std::vector<StoredRow> &Found) {
+          ++Calls;
+          for (const StoredRow &Row : Found)
+            Rows[Row.Name.Partition + Row.Name.Key] = Row.Value;
+        });
+  }
+
+  void put(const std::string &Partition, const std::string &Key,
+           const std::string &Value) {
+    RowTransaction Write;
+    Write.Puts.push_back({{"t", Partition, Key}, Value});
+    Store.apply(Write);
+  }
+};
+
+} // namespace
+
+// Guards against rows that are lost between the pages of the first read, or
+// between it and the first change.
+TEST_CASE("a watch has all rows of its partitions, then each change") {
+  Watched Table;
+  for (int I = 0; I < 120; ++I)
+    Table.put(I % 2 == 0 ? "a" : "b", "k" + std::to_string(I), "1");
+  Table.begin();
+  Table.Loop.after(Millis(9), [&] { Table.put("a", "late", "1"); });
+  Table.Loop.runFor(Millis(200));
+  REQUIRE(Table.Rows.size() == 121);
+  Table.put("b", "k1", "2");
+  Table.Loop.runFor(Millis(50));
+  REQUIRE(Table.Rows.at("bk1") == "2");
+}
+
+// Guards against changes that are missed when the store drops its history.
+TEST_CASE("a watch reads all rows again when history is gone") {
+  Watched Table;
+  Table.begin();
+  Table.Loop.runFor(Millis(100));
+  Table.Store.Down = true;
+  Table.Loop.runFor(Millis(1000));
+  Table.put("a", "k", "1");
+  Table.Store.Forgotten = Table.Store.version().next();
+  Table.Store.Down = false;
+  Table.Loop.runFor(Millis(500));
+  REQUIRE(Table.Rows.at("ak") == "1");
+  REQUIRE(Table.Loop.now() - Table.Watch->lastAnswer() < Millis(1100));
+}
--- /dev/null
+++ b/tests/scheduling/TailModelTest.cpp
@@ -0,0 +1,70 @@
+#include "daisyspool/scheduling/TailModel.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+using namespace daisyspool::scheduling;
+using workload::ImageId;
+
+namespace {
+
+const TimePoint Now{Millis(1000000)};
+
+Assignment serving(const std::string &Image, std::int64_t Tail) {
+  Assignment Run;
+  Run.Image = ImageId(Image);
+  Run.TailTarget = Millis(100);
+  Run.Load = Tail;
+  return Run;
+}
+
+Assignment filling(const std::string &Image) {
+  Assignment Run;
+  Run.Image = ImageId(Image);
+  Run.Filling = MilliCores(3000);
+  Run.Load = 3000;
+  return Run;
+}
+
+VmState vm(const std::vector<Assignment> &Runs) {
+  VmState Result;
+  std::uint32_t Index = 0;
+  for (const Assignment &Run : Runs)
+    Result.assign({JobId("job"), 0, 0, Index++}, Run);
+  return Result;
+}
+
+/// Shows the model a service alone, then beside a loud and a quiet image.
+void teach(TailModel &Model) {
+  for (int I = 0; I < 40; ++I) {
+    Model.observe(vm({serving("s", 40)}), Now);
+    Model.observe(vm({serving("s", 90), filling("loud")}), Now);
+    Model.observe(vm({serving("s", 41), filling("quiet")}), Now);
+  }
+}
+
+} // namespace
+
+// Load pattern: few pairs of images disturb each other. Guards against batch
+// that is kept from VMs it would leave alone.
+TEST_CASE("the tail model tells quiet pairs from loud ones") {
+  TailModel Model;
+  teach(Model);
+  VmState Vm = vm({serving("s", 40)});
+  REQUIRE(Model.predict(Vm, ImageId("loud"), Now) > 0.8);
+  REQUIRE(Model.predict(Vm, ImageId("quiet"), Now) < 0.5);
+  REQUIRE(Model.harmlessTo(ImageId("quiet"), Now) ==
+          std::vector<ImageId>{ImageId("s")});
+  REQUIRE(Model.harmlessTo(ImageId("loud"), Now).empty());
+  REQUIRE(Model.predict(vm({}), ImageId("loud"), Now) == 0);
+}
+
+// Load pattern: a worker that turns slow, with tails of 50 times the target.
+// Guards against pairs that are then taken for loud and block all VMs.
+TEST_CASE("a slow worker teaches nothing about its neighbours") {
+  TailModel Model;
+  teach(Model);
+  for (int I = 0; I < 40; ++I)
+    Model.observe(vm({serving("s", 5000), filling("quiet")}), Now);
+  REQUIRE(Model.predict(vm({serving("s", 40)}), ImageId("quiet"), Now) < 0.5);
+}
