Pass what was learned of the images to the next leader

Ruled out: a longer leader's lease (the takeovers are by kills and cuts). Change: the leader writes the pairs with each renewal; its successor reads them.

--- a/include/daisyspool/intake/Layout.h
+++ b/include/daisyspool/intake/Layout.h
@@ -24,6 +24,7 @@
 inline constexpr const char *LeaderPartition = "lead";
 inline constexpr const char *ProgressTable = "progress";
 inline constexpr const char *FenceTable = "fence";
+inline constexpr const char *LearnedTable = "learned";
 /// Who leads, and what every entry needs to know of it. Followed by entries.
 inline constexpr const char *LeaderTable = "leader";
 
@@ -32,6 +33,7 @@
 rows::RowName agentRow(const VmId &Vm);
 rows::RowName progressRow(const JobId &Job);
 rows::RowName fenceRow();
+rows::RowName learnedRow();
 rows::RowName leaderRow();
 
 /// The job or VM of a row's key with the given kind, or nothing.
--- a/include/daisyspool/interference/InterferenceModel.h
+++ b/include/daisyspool/interference/InterferenceModel.h
@@ -54,6 +54,11 @@
                std::span<const Neighbour> Neighbours, double Slowdown,
                TimePoint Now);
 
+  /// Sets what is known of a pair, as pair() gave it elsewhere. Kinds beyond
+  /// MaxKinds are ignored.
+  void restore(KindIndex Victim, KindIndex Aggressor, LoadBand Band,
+               const PairEstimate &Known, TimePoint Now);
+
   PairEstimate pair(KindIndex Victim, KindIndex Aggressor, LoadBand Band,
                     TimePoint Now) const;
 
--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -71,6 +71,7 @@
   void takeIntakeRow(const rows::StoredRow &Row);
   void readProgress(const std::string &From);
   void onProgress(const rows::ReadOutcome &Outcome, const std::string &From);
+  void readLearned();
   void finishLoading();
   void startLinks();
   void poke();
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -109,6 +109,14 @@
   /// The next message to the agent of \p Vm.
   runner::SyncRequest nextSync(const VmId &Vm, Epoch Leader, TimePoint Now);
 
+  /// What was learned of the fleet's images, for the next leader.
+  std::string encodeLearned(TimePoint Now) const { return Tails.encode(Now); }
+
+  /// Applies what an earlier leader learned. Errors: throws ProtocolError.
+  void restoreLearned(std::string_view Bytes, TimePoint Now) {
+    Tails.decode(Bytes, Now);
+  }
+
   /// Accepted jobs by queue of which no task has started.
   std::map<workload::QueueId, std::uint32_t> pending() const;
 
--- a/include/daisyspool/scheduling/TailModel.h
+++ b/include/daisyspool/scheduling/TailModel.h
@@ -5,6 +5,8 @@
 #include "daisyspool/scheduling/VmState.h"
 
 #include <map>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace daisyspool::scheduling {
@@ -34,6 +36,12 @@
   std::vector<workload::ImageId> harmlessTo(const workload::ImageId &Image,
                                             TimePoint Now) const;
 
+  /// Serializes what was learned, for the next leader.
+  std::string encode(TimePoint Now) const;
+
+  /// Applies what encode() wrote. Errors: throws ProtocolError.
+  void decode(std::string_view Bytes, TimePoint Now);
+
 private:
   using Kind = interference::KindIndex;
 
--- a/src/intake/Layout.cpp
+++ b/src/intake/Layout.cpp
@@ -61,6 +61,8 @@
 
 rows::RowName fenceRow() { return {FenceTable, LeaderPartition, "fence"}; }
 
+rows::RowName learnedRow() { return {LearnedTable, LeaderPartition, "tails"}; }
+
 rows::RowName leaderRow() { return {LeaderTable, LeaderPartition, "leader"}; }
 
 std::optional<JobId> jobOfKey(std::string_view Key) {
--- a/src/interference/InterferenceModel.cpp
+++ b/src/interference/InterferenceModel.cpp
@@ -86,6 +86,17 @@
   }
 }
 
+void InterferenceModel::restore(KindIndex Victim, KindIndex Aggressor,
+                                LoadBand Band, const PairEstimate &Known,
+                                TimePoint Now) {
+  if (Victim.index() >= Config.MaxKinds || Aggressor.index() >= Config.MaxKinds)
+    return;
+
+  cell(Victim, Aggressor, Band) = {static_cast<float>(Known.Excess),
+                                   static_cast<float>(Known.Weight),
+                                   seconds(Now)};
+}
+
 PairEstimate InterferenceModel::pair(KindIndex Victim, KindIndex Aggressor,
                                      LoadBand Band, TimePoint Now) const {
   if (Victim.index() >= Config.MaxKinds || Aggressor.index() >= Config.MaxKinds)
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -326,7 +326,26 @@
   }
   if (Page->Truncated && !Page->Rows.empty())
     return readProgress(Page->Rows.back().Name.Key + '!');
-  finishLoading();
+  readLearned();
+}
+
+void LeaderDuty::readLearned() {
+  Store.read(exactly(intake::learnedRow()), CallTimeout,
+             [this, Of = Term](const rows::ReadOutcome &Outcome) {
+               if (Term != Of || !Current)
+                 return;
+               // Only an advantage, so the reign begins without it as well.
+               const auto *Page = std::get_if<rows::RowPage>(&Outcome);
+               try {
+                 if (Page && !Page->Rows.empty())
+                   Current->Jobs.restoreLearned(Page->Rows.front().Value,
+                                                Time.now());
+               } catch (const ProtocolError &Problem) {
+                 LogEvent(LogLevel::Warning, "learned_unreadable")
+                     .with("detail", Problem.what());
+               }
+               finishLoading();
+             });
 }
 
 void LeaderDuty::finishLoading() {
@@ -414,8 +433,11 @@
   What->Renews = Renews;
   What->Write.Conditions.push_back({intake::fenceRow(), Current->FenceVersion});
   What->Write.Puts.push_back({intake::fenceRow(), encode(What->Mine)});
-  if (Renews)
+  if (Renews) {
     What->Write.Puts.push_back({intake::leaderRow(), encode(ownStatus(false))});
+    What->Write.Puts.push_back(
+        {intake::learnedRow(), Current->Jobs.encodeLearned(Time.now())});
+  }
   for (auto &Change : Current->Jobs.takeChanges(CommitNumber(What->Number)))
     What->Write.Puts.push_back(
         {intake::progressRow(Change.Job), std::move(Change.Progress)});
--- a/src/scheduling/TailModel.cpp
+++ b/src/scheduling/TailModel.cpp
@@ -1,5 +1,9 @@
 #include "daisyspool/scheduling/TailModel.h"
 
+#include "daisyspool/core/Errors.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace daisyspool::scheduling {
@@ -7,6 +11,7 @@
 namespace {
 
 using interference::LoadBand;
+using workload::ImageId;
 
 /// Reports do not tell a service's own load, so all are of one band.
 constexpr LoadBand OneBand = LoadBand::Low;
@@ -118,4 +123,40 @@
   return Result;
 }
 
+std::string TailModel::encode(TimePoint Now) const {
+  using nlohmann::json;
+  json Usual = json::array();
+  json Learned = json::array();
+  for (const auto &[Serving, Quotient] : Alone) {
+    Usual.push_back(json::array({Serving.str(), Quotient}));
+    for (const auto &[Filling, Kind] : Kinds) {
+      auto Pair = Pairs.pair(Kinds.at(Serving), Kind, OneBand, Now);
+      if (Pair.Weight > 0)
+        Learned.push_back(json::array(
+            {Serving.str(), Filling.str(), Pair.Excess, Pair.Weight}));
+    }
+  }
+  auto Bytes =
+      json::to_msgpack(json::array({std::move(Usual), std::move(Learned)}));
+  return {Bytes.begin(), Bytes.end()};
+}
+
+void TailModel::decode(std::string_view Bytes, TimePoint Now) {
+  using nlohmann::json;
+  try {
+    json From = json::from_msgpack(Bytes.begin(), Bytes.end());
+    for (const json &Each : From.at(0)) {
+      ImageId Serving(Each.at(0).get<std::string>());
+      kindOf(Serving);
+      Alone[Serving] = Each.at(1);
+    }
+    for (const json &Each : From.at(1))
+      Pairs.restore(kindOf(ImageId(Each.at(0).get<std::string>())),
+                    kindOf(ImageId(Each.at(1).get<std::string>())), OneBand,
+                    {Each.at(2), Each.at(3)}, Now);
+  } catch (const json::exception &Problem) {
+    throw ProtocolError(std::string("tail model: ") + Problem.what());
+  }
+}
+
 } // namespace daisyspool::scheduling
--- a/tests/scheduling/TailModelTest.cpp
+++ b/tests/scheduling/TailModelTest.cpp
@@ -1,4 +1,5 @@
 #include "daisyspool/scheduling/TailModel.h"
+#include "daisyspool/core/Errors.h"
 
 #include <catch2/catch.hpp>
 
@@ -68,3 +69,18 @@
     Model.observe(vm({serving("s", 5000), filling("quiet")}), Now);
   REQUIRE(Model.predict(vm({serving("s", 40)}), ImageId("quiet"), Now) < 0.5);
 }
+
+// Guards against a new leader that has to learn every pair again, at the cost
+// of the services beside which it tries them.
+TEST_CASE("what was learned passes to the next leader") {
+  TailModel First;
+  teach(First);
+  TailModel Next;
+  Next.decode(First.encode(Now), Now);
+  VmState Vm = vm({serving("s", 40)});
+  REQUIRE(Next.predict(Vm, ImageId("loud"), Now) ==
+          Approx(First.predict(Vm, ImageId("loud"), Now)));
+  REQUIRE(Next.harmlessTo(ImageId("quiet"), Now) ==
+          First.harmlessTo(ImageId("quiet"), Now));
+  REQUIRE_THROWS_AS(Next.decode("?", Now), ProtocolError);
+}
