Compute expected tails once for each state, log without waiting

Logs went to standard error and waited for a slow reader. Ruled out: log lines (2.6 us each). Change: tails are kept with the VM until its runs or figures change; an image that found no room is not tried again in the pass; logs go to standard output and drop what does not fit, counted.

--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -154,6 +154,8 @@
                  TimePoint Now);
   void assign(JobProgress &Job, const TaskName &Name, RunNumber Run,
               VmState &Vm, TimePoint Now);
+  bool isBlocked(const VmRequest &Request) const;
+  void noteBlocked(const VmRequest &Request);
   void preemptFor(const JobProgress &Job, const VmRequest &Request,
                   TimePoint Now);
   std::map<VmId, std::uint32_t> siblings(const JobProgress &Job,
@@ -173,6 +175,9 @@
   workload::FleetConfig Fleet;
   /// Resources on VMs that are being freed for urgent tasks in this pass.
   std::map<VmId, Resources> Claimed;
+  /// Least processors for which no VM had room in this pass, by service and
+  /// image. Load pattern: a queue of hundreds of tasks of a few images.
+  std::map<std::pair<ServiceId, workload::ImageId>, MilliCores> BlockedFilling;
   TailModel Tails;
   TimePoint LastSchedule{};
   bool FleetIdle = false;
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -74,6 +74,9 @@
   MilliCores Filling;
   /// The part of Held that serving tasks hold.
   MilliCores ServingHeld;
+  /// Expected tails by the image of a further filling task, until the runs or
+  /// their figures change.
+  std::map<workload::ImageId, double> ExpectedTails;
   /// Grows with each failed end and halves with each good one.
   double FailureScore = 0;
   /// No more than one new task at a time until then.
--- a/include/daisyspool/telemetry/Log.h
+++ b/include/daisyspool/telemetry/Log.h
@@ -11,7 +11,8 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
-/// Sets the process's log to standard error. Call once, before any thread.
+/// Sets the process's log to standard output, which is never waited for. Call
+/// once, before any thread.
 ///
 /// \p Process is added to each line; events below \p Least are dropped.
 void startLog(std::string_view Process, LogLevel Least);
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -289,6 +289,7 @@
   for (auto &[Id, Job] : Open)
     addDueOccurrences(*Job, Wall);
   Claimed.clear();
+  BlockedFilling.clear();
   for (JobProgress *Job : scheduleOrder(Now))
     placeJob(*Job, Now);
 }
@@ -334,8 +335,11 @@
                       &Siblings,
                       &Tails,
                       isStarved(Job, Now)};
+    if (isBlocked(Request))
+      return false;
     VmState *Vm = chooseVm(VmList, Request, Now);
     if (!Vm) {
+      noteBlocked(Request);
       preemptFor(Job, Request, Now);
       return false;
     }
@@ -420,6 +424,24 @@
             std::chrono::duration_cast<Millis>(Now - Job.Arrival).count());
 }
 
+bool Scheduler::isBlocked(const VmRequest &Request) const {
+  if (!Request.Step->FillsIdleCpu || Request.Starved)
+    return false;
+  auto Found = BlockedFilling.find({Request.Service, Request.Step->Image});
+  return Found != BlockedFilling.end() &&
+         Found->second <= Request.Step->Needs.Cpu;
+}
+
+void Scheduler::noteBlocked(const VmRequest &Request) {
+  const auto &Step = *Request.Step;
+  // Only what says something about other tasks of the image.
+  bool Plain = Step.FillsIdleCpu && !Request.Starved &&
+               Request.Avoid->empty() && Step.RequiredLabel.empty() &&
+               Step.MaxPerVm == 0;
+  if (Plain)
+    BlockedFilling.try_emplace({Request.Service, Step.Image}, Step.Needs.Cpu);
+}
+
 void Scheduler::preemptFor(const JobProgress &Job, const VmRequest &Request,
                            TimePoint Now) {
   // Only the first class preempts.
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -221,6 +221,7 @@
     else if (Run.SentIn != 0 && Number >= Run.SentIn)
       Run.SentIn = 0;
   }
+  Vm.ExpectedTails.clear();
   Tails.observe(Vm, Now);
   for (const TaskName &Name : Gone)
     requeue(Vm, Name, {}, Reply.LeaseExpired ? "lease_expired" : "new_life");
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -41,13 +41,22 @@
          Vm.ServingHeld.value() * (100 - ServingUsePercent) / 100;
 }
 
+/// The expected tail, computed once for each state of the VM: a long queue asks
+/// for the same few images on every VM.
+double expectedTail(VmState &Vm, const VmRequest &Request, TimePoint Now) {
+  auto [Known, New] = Vm.ExpectedTails.try_emplace(Request.Step->Image, 0);
+  if (New)
+    Known->second = Request.Tails->predict(Vm, Request.Step->Image, Now);
+  return Known->second;
+}
+
 /// Whether a filling task would get on: idle processors, and a tail of the
 /// serving tasks that leaves it its speed.
-bool hasIdleRoom(const VmState &Vm, const VmRequest &Request, TimePoint Now) {
+bool hasIdleRoom(VmState &Vm, const VmRequest &Request, TimePoint Now) {
   if (Request.Starved)
     return true;
   return idleCpu(Vm) >= Request.Step->Needs.Cpu.value() &&
-         Request.Tails->predict(Vm, Request.Step->Image, Now) < MaxTail;
+         expectedTail(Vm, Request, Now) < MaxTail;
 }
 
 /// Serving tasks of other images.
@@ -63,15 +72,14 @@
 /// Smaller is better.
 using Score = std::tuple<bool, bool, std::int64_t, std::int64_t>;
 
-Score scoreOf(const VmState &Vm, const VmRequest &Request, TimePoint Now) {
+Score scoreOf(VmState &Vm, const VmRequest &Request, TimePoint Now) {
   const auto &Step = *Request.Step;
   bool Far = !Step.PreferredRack.empty() && Vm.Rack != Step.PreferredRack;
   if (Step.FillsIdleCpu)
     return {avoided(Vm, Request), Far,
             // Steps of a tenth, so that rough figures do not outweigh idle
             // processors.
-            static_cast<std::int64_t>(
-                Request.Tails->predict(Vm, Step.Image, Now) * 10),
+            static_cast<std::int64_t>(expectedTail(Vm, Request, Now) * 10),
             -idleCpu(Vm)};
   if (Step.LongRunning)
     return {avoided(Vm, Request), Far, strangersOn(Vm, Step),
--- a/src/scheduling/VmState.cpp
+++ b/src/scheduling/VmState.cpp
@@ -4,6 +4,7 @@
 
 void VmState::assign(const TaskName &Task, const Assignment &What) {
   Assigned.emplace(Task, What);
+  ExpectedTails.clear();
   Held = Held + What.Held;
   Filling += What.Filling;
   if (What.TailTarget > Millis(0))
@@ -15,6 +16,7 @@
   if (Found == Assigned.end())
     return;
 
+  ExpectedTails.clear();
   Held = Held - Found->second.Held;
   Filling -= Found->second.Filling;
   if (Found->second.TailTarget > Millis(0))
--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -12,8 +12,11 @@
 #include <atomic>
 #include <cassert>
 #include <chrono>
-#include <iostream>
+#include <fcntl.h>
 #include <mutex>
+#include <ostream>
+#include <streambuf>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace daisyspool {
@@ -33,6 +36,8 @@
 struct LogState {
   std::atomic<LogLevel> Least{LogLevel::Warning};
   std::string Process = "-";
+  /// Lines that standard output had no room for.
+  std::atomic<int> Dropped{0};
   std::mutex WindowsMutex;
   std::unordered_map<std::string, RateWindow> Windows;
 };
@@ -78,13 +83,52 @@
 
 } // namespace
 
+/// Writes whole lines to standard output and drops a line that the reader has
+/// no room for, so that a slow reader never holds up a decision.
+class NonBlockingOutput final : public std::streambuf {
+public:
+  NonBlockingOutput() {
+    int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (Flags >= 0)
+      ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+  }
+
+protected:
+  int_type overflow(int_type Each) override {
+    if (Each != traits_type::eof())
+      Line += static_cast<char>(Each);
+    return Each;
+  }
+
+  std::streamsize xsputn(const char *Text, std::streamsize Count) override {
+    Line.append(Text, static_cast<std::size_t>(Count));
+    return Count;
+  }
+
+  int sync() override {
+    if (Line.empty())
+      return 0;
+    // A pipe takes a line up to its atomic size whole or not at all.
+    ssize_t Written = ::write(STDOUT_FILENO, Line.data(), Line.size());
+    if (Written < 0)
+      ++state().Dropped;
+    Line.clear();
+    return 0;
+  }
+
+private:
+  std::string Line;
+};
+
 void startLog(std::string_view Process, LogLevel Least) {
   namespace log = boost::log;
+  static NonBlockingOutput Buffer;
+  static std::ostream Output(&Buffer);
   state().Process = std::string(Process);
   state().Least = Least;
   log::add_common_attributes();
   log::add_console_log(
-      std::clog, log::keywords::auto_flush = true,
+      Output, log::keywords::auto_flush = true,
       log::keywords::format =
           (log::expressions::stream
            << "time="
@@ -151,6 +195,8 @@
     return;
   if (LeftOut > 0)
     with("left_out", LeftOut);
+  if (int Dropped = state().Dropped.exchange(0); Dropped > 0)
+    with("dropped", Dropped);
 
   static boost::log::sources::logger_mt Logger;
   BOOST_LOG(Logger) << "level=" << toString(Level)
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -19,15 +19,15 @@
 class WorkerConnection final : public runner::WorkerPort {
 public:
   WorkerConnection(VirtualLoop &Loop, std::mt19937_64 &Random,
-                   VirtualWorker &Worker, Life Alive)
-      : Loop(Loop), Random(Random), Worker(Worker), Alive(std::move(Alive)) {}
+                   VirtualWorker &Worker, const Life &Alive)
+      : Loop(Loop), Random(Random), Worker(Worker), Alive(Alive) {}
 
   void start(runner::FencingToken Token, const TargetId &For,
              const runner::WorkerStart &What,
              std::function<void(runner::StartOutcome)> Done) override {
-    order<runner::StartOutcome>([this, &W = Worker, Token, For,
-                                 What] { return W.start(Token, For, What); },
-                                std::move(Done));
+    order<runner::StartOutcome>(
+        [&W = Worker, Token, For, What] { return W.start(Token, For, What); },
+        std::move(Done));
   }
   void stop(runner::FencingToken Token, const TargetId &For,
             const runner::RunName &What,
@@ -143,7 +143,7 @@
     Fleet.Version = ConfigVersion(1);
     for (std::size_t I = 0; I < WorkerCount; ++I) {
       Workers.push_back(std::make_unique<VirtualWorker>(
-          Loop, Random, Watch, "vm" + std::to_string(I), Capacity));
+          Loop, Watch, "vm" + std::to_string(I), Capacity));
       Agents.emplace_back();
       Cut.push_back(false);
       startAgent(I);
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -118,7 +118,7 @@
 
   void commit(const rows::RowTransaction &What, Millis Timeout,
               std::function<void(rows::CommitOutcome)> Done) override {
-    Store.Loop.after(Store.Delay, [this, &S = Store, What, Timeout, A = Alive,
+    Store.Loop.after(Store.Delay, [&S = Store, What, Timeout, A = Alive,
                                    Name = Process, Done] {
       if (S.refuses(Name))
         return answer(S, A, Millis(1), Done,
@@ -137,7 +137,7 @@
   void read(const rows::RowRange &What, Millis,
             std::function<void(rows::ReadOutcome)> Done) override {
     Store.Loop.after(
-        Store.Delay, [this, &S = Store, What, A = Alive, Name = Process, Done] {
+        Store.Delay, [&S = Store, What, A = Alive, Name = Process, Done] {
           if (S.refuses(Name))
             return answer(S, A, Millis(1), Done,
                           rows::ReadOutcome(rows::ReadFailed{"busy"}));
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -18,10 +18,9 @@
 
 class VirtualWorker {
 public:
-  VirtualWorker(VirtualLoop &Loop, std::mt19937_64 &Random, Oracle &Watch,
-                std::string Name, Resources Capacity)
-      : Loop(Loop), Random(Random), Watch(Watch), Name(std::move(Name)),
-        Capacity(Capacity) {
+  VirtualWorker(VirtualLoop &Loop, Oracle &Watch, std::string Name,
+                Resources Capacity)
+      : Loop(Loop), Watch(Watch), Name(std::move(Name)), Capacity(Capacity) {
     begin();
   }
 
@@ -214,7 +213,6 @@
   }
 
   VirtualLoop &Loop;
-  std::mt19937_64 &Random;
   Oracle &Watch;
   std::string Name;
   Resources Capacity;
