--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -5,6 +5,7 @@
 #include "daisyspool/replay/ReplayCommand.h"
 #include "daisyspool/settings/NodeSettings.h"
 #include "daisyspool/settings/settings.h"
+#include "daisyspool/telemetry/Explain.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -25,7 +26,7 @@
 ABSL_FLAG(std::string, config, "", "apply: directory of the configuration");
 ABSL_FLAG(std::string, change_id, "",
           "apply: id of the change; a repeat under the same id has no effect");
-ABSL_FLAG(std::string, request, "", "record: id of a request or job");
+ABSL_FLAG(std::string, request, "", "record, explain: id of a request or job");
 ABSL_FLAG(std::string, caller, "", "record: name of a caller");
 ABSL_FLAG(bool, dry_run, false, "apply: only check and show the difference");
 ABSL_FLAG(std::string, operator_name, "anonymous", "name of the operator");
@@ -64,6 +65,7 @@
                                          show the record of what ran
   daisyspool verify-record --entry ADDRESS:PORT
                                          check that the record is complete
+  daisyspool explain --request ID < LOGS show a job's log lines in order
   daisyspool check-config --role entry|agent --settings FILE
                                          check settings without starting
   daisyspool replay --trace FILE --outcomes FILE --entry ADDRESS:PORT
@@ -140,6 +142,17 @@
   return 0;
 }
 
+int explain() {
+  std::string Id = absl::GetFlag(FLAGS_request);
+  if (Id.empty())
+    throw SettingsError("(command line)", 0, "--request", "nothing",
+                        "the id of a job");
+
+  for (const std::string &Line : linesOf(Id, std::cin))
+    std::cout << Line << '\n';
+  return 0;
+}
+
 int replay() {
   return runReplay({absl::GetFlag(FLAGS_trace), absl::GetFlag(FLAGS_outcomes),
                     absl::GetFlag(FLAGS_entry), absl::GetFlag(FLAGS_executions),
@@ -166,6 +179,7 @@
        }},
       {"verify-record", [] { return verifyRecord(commandTarget()); }},
       {"check-config", checkConfig},
+      {"explain", explain},
       {"replay", replay}};
   auto Chosen = Commands.find(Rest.size() == 2 ? Rest[1] : "");
   if (Chosen == Commands.end()) {
