Hand leadership over when stopping, and replace no leader of a few milliseconds

An entry that had asked for the fence just before another's takeover read it after that and took over at once (epochs 2 and 3, 120 ms apart). Ruled out: slow agents (the lapses begin when no leader grants). Change: the release follows the transaction; a takeover is dropped when the leader's status changed since the fence was asked for.

--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -52,6 +52,8 @@
   bool IntakeRead = false;
   bool Committing = false;
   bool Poked = false;
+  /// Set while a stop waits for the transaction under way.
+  std::function<void()> OnSettled;
   std::map<VmId, http::Endpoint> Agents;
   std::unique_ptr<AgentLinks> Links;
   std::unique_ptr<rows::TableWatch> Intake;
@@ -137,33 +139,35 @@
 
 void LeaderDuty::readFence() {
   TakingOver = true;
-  Store.read(exactly(intake::fenceRow()), CallTimeout,
-             [this](const rows::ReadOutcome &Outcome) {
-               const auto *Page = std::get_if<rows::RowPage>(&Outcome);
-               if (!Page || Closed) {
-                 TakingOver = false;
-                 return;
-               }
-               Epoch Newest = Status.Leader.Term;
-               rows::RowVersion Version;
-               if (!Page->Rows.empty()) {
-                 Version = Page->Rows.front().Version;
-                 try {
-                   Newest = decodeFence(Page->Rows.front().Value).Leader.Term;
-                 } catch (const ProtocolError &Problem) {
-                   LogEvent(LogLevel::Error, "fence_unreadable")
-                       .with("detail", Problem.what());
-                 }
-               }
-               if (Newest > Status.Leader.Term) {
-                 // Another process has just taken over; its status row, written
-                 // with the fence, is on its way.
-                 TakingOver = false;
-                 StatusChanged = Time.now();
-                 return;
-               }
-               takeOver(Version, Newest);
-             });
+  Store.read(
+      exactly(intake::fenceRow()), CallTimeout,
+      [this, Replaced = Status.Leader](const rows::ReadOutcome &Outcome) {
+        const auto *Page = std::get_if<rows::RowPage>(&Outcome);
+        // A newer leader's status may have come first.
+        if (!Page || Closed || Status.Leader != Replaced) {
+          TakingOver = false;
+          return;
+        }
+        Epoch Newest = Status.Leader.Term;
+        rows::RowVersion Version;
+        if (!Page->Rows.empty()) {
+          Version = Page->Rows.front().Version;
+          try {
+            Newest = decodeFence(Page->Rows.front().Value).Leader.Term;
+          } catch (const ProtocolError &Problem) {
+            LogEvent(LogLevel::Error, "fence_unreadable")
+                .with("detail", Problem.what());
+          }
+        }
+        if (Newest > Status.Leader.Term) {
+          // Another process has just taken over; its status row, written
+          // with the fence, is on its way.
+          TakingOver = false;
+          StatusChanged = Time.now();
+          return;
+        }
+        takeOver(Version, Newest);
+      });
 }
 
 void LeaderDuty::takeOver(rows::RowVersion Version, Epoch Newest) {
@@ -496,6 +500,8 @@
   if (What.Renews)
     Current->LastRenewal = Time.now();
   Current->Jobs.committed(CommitNumber(What.Number));
+  if (auto Settled = std::move(Current->OnSettled))
+    return close(std::move(Settled));
   dispatch();
   poke();
 }
@@ -524,10 +530,15 @@
 void LeaderDuty::close(std::function<void()> Done) {
   Closed = true;
   Tick->cancel();
-  if (!Term || !Current->Loaded || Current->Committing) {
+  if (!Term || !Current->Loaded) {
     stepDown("closing");
     return Done();
   }
+  // The release follows the transaction that is under way.
+  if (Current->Committing) {
+    Current->OnSettled = std::move(Done);
+    return;
+  }
 
   rows::RowTransaction Write;
   Write.Conditions.push_back({intake::fenceRow(), Current->FenceVersion});
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -154,6 +154,52 @@
   requireSound(Fleet);
 }
 
+// Guards against a stopping leader that leaves without a release because a
+// transaction is under way: its successor then waits as for a dead one.
+TEST_CASE("a leader that stops hands over at once") {
+  for (int Delay : {4, 40}) {
+    VirtualFleet Fleet(13, 3, 4);
+    Fleet.Store.Delay = Millis(Delay);
+    Fleet.Loop.runFor(Millis(4000));
+    submitSome(Fleet, 10);
+    std::size_t First = Fleet.leader();
+    REQUIRE(First < 3);
+    Fleet.Entries[First]->Leader.close([] {});
+    Fleet.Loop.runFor(Millis(15 * Delay + 100));
+    REQUIRE(Fleet.leader() < 3);
+    REQUIRE(Fleet.leader() != First);
+    REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(15)));
+    requireSound(Fleet);
+  }
+}
+
+// Guards against an entry that replaces a leader of a few milliseconds: it had
+// asked for the fence before and read it after that one's takeover.
+TEST_CASE("entries that race for a takeover leave one new leader") {
+  for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
+    VirtualFleet Fleet(Seed, 5, 1);
+    Fleet.Store.Delay = Millis(2 + static_cast<int>(Seed));
+    Fleet.Loop.runFor(Millis(3000 + static_cast<int>(Seed) * 37));
+    std::size_t First = Fleet.leader();
+    REQUIRE(First < 5);
+    Epoch Before = Fleet.Entries[First]->Leader.status().Leader.Term;
+    // Their calls to the store must not run in step.
+    for (std::size_t I = 0; I < 5; ++I)
+      if (I != First) {
+        Fleet.killEntry(I);
+        Fleet.Loop.runFor(Millis(3 + static_cast<int>(Seed * I % 7)));
+        Fleet.startEntry(I);
+      }
+    Fleet.Loop.runFor(Millis(2000));
+    Fleet.killEntry(First);
+    Fleet.Loop.runFor(Millis(3500));
+    std::size_t Second = Fleet.leader();
+    REQUIRE(Second < 5);
+    REQUIRE(Fleet.Entries[Second]->Leader.status().Leader.Term ==
+            Before.next());
+  }
+}
+
 // Guards against a cancellation that a new leader reads before the progress of
 // the job, which then runs on.
 TEST_CASE("a job cancelled during a takeover is stopped") {
