--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -148,7 +148,7 @@
   void addDueOccurrences(JobProgress &Job, WallMillis Wall);
   std::vector<JobProgress *> scheduleOrder(TimePoint Now);
   void placeJob(JobProgress &Job, TimePoint Now);
-  bool placeStep(JobProgress &Job, std::uint32_t Occurrence, std::uint32_t Step,
+  void placeStep(JobProgress &Job, std::uint32_t Occurrence, std::uint32_t Step,
                  TimePoint Now);
   void placeGang(JobProgress &Job, std::uint32_t Occurrence, std::uint32_t Step,
                  TimePoint Now);
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -321,7 +321,7 @@
   return Result;
 }
 
-bool Scheduler::placeStep(JobProgress &Job, std::uint32_t Occurrence,
+void Scheduler::placeStep(JobProgress &Job, std::uint32_t Occurrence,
                           std::uint32_t Step, TimePoint Now) {
   auto &Tasks = Job.Occurrences[Occurrence].Steps[Step].Tasks;
   auto Siblings = siblings(Job, Occurrence, Step);
@@ -336,19 +336,17 @@
                       &Tails,
                       isStarved(Job, Now)};
     if (isBlocked(Request))
-      return false;
+      return;
     VmState *Vm = chooseVm(VmList, Request, Now);
     if (!Vm) {
       noteBlocked(Request);
       preemptFor(Job, Request, Now);
-      return false;
+      return;
     }
     ++Siblings[Vm->Id];
     assign(Job, {Job.Record.Id, Occurrence, Step, N}, Task.LastRun.next(), *Vm,
            Now);
   }
-
-  return true;
 }
 
 void Scheduler::placeGang(JobProgress &Job, std::uint32_t Occurrence,
