--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -48,7 +48,7 @@
     // Waits in steps of 20 ms for an end.
     auto Before = std::make_shared<std::size_t>(Worker.endCount());
     waitForEnd(Loop, Worker, Alive, Token, What, Before, Loop.now() + What.Wait,
-               std::move(Done));
+               Done);
   }
 
 private:
