--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -49,7 +49,6 @@
   /// What the leader last said of itself, and when this process heard it.
   const LeaderStatus &status() const { return Status; }
   bool leading() const { return Term.has_value(); }
-  std::size_t jobCount() const;
 
   /// Stops leading, telling the others, and calls \p Done.
   void close(std::function<void()> Done);
--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -87,6 +87,9 @@
 bool isReady(const JobProgress &Job, const OccurrenceProgress &Occurrence,
              std::size_t Step);
 
+/// The tasks with a run, in order.
+std::vector<TaskName> assignedTasks(const JobProgress &Job);
+
 /// Whether every task of every repetition is done.
 bool isComplete(const JobProgress &Job);
 
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -70,9 +70,6 @@
   /// Cancels a job; returns false if it is not known.
   bool cancel(const JobId &Job);
 
-  /// Forgets a job that has ended. Precondition: no run of it is left.
-  void forget(const JobId &Job);
-
   /// Applies the operator's configuration to all jobs of its queues.
   void configure(const workload::FleetConfig &Next);
 
--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -29,7 +29,6 @@
   http::Endpoint Store;
   Millis MaxLease{6000};
   Millis StopTimeout{400};
-  Millis GracePeriod{6000};
   std::string LogLevel = "info";
 };
 
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -37,10 +37,6 @@
 
 LeaderDuty::~LeaderDuty() = default;
 
-std::size_t LeaderDuty::jobCount() const {
-  return Current ? Current->Jobs.jobCount() : 0;
-}
-
 void LeaderDuty::configure(const workload::FleetConfig &Next) {
   Fleet = Next;
   if (Current) {
@@ -160,16 +156,9 @@
   if (const auto *Bad = std::get_if<rows::Conflict>(&Outcome)) {
     // An earlier attempt of this transaction may have been applied without an
     // answer; the fence row then has its number.
-    for (const rows::StoredRow &Row : Bad->Current) {
-      try {
-        if (Row.Name == intake::fenceRow() &&
-            decodeFence(Row.Value) == What->Mine)
-          return applied(*What, Row.Version);
-      } catch (const ProtocolError &Problem) {
-        LogEvent(LogLevel::Error, "fence_unreadable")
-            .with("detail", Problem.what());
-      }
-    }
+    for (const rows::StoredRow &Row : Bad->Current)
+      if (Row.Name == intake::fenceRow() && readableFence(Row) == What->Mine)
+        return applied(*What, Row.Version);
     return stepDown("fenced_off");
   }
 
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -18,6 +18,16 @@
 
 } // namespace
 
+std::optional<Fence> readableFence(const rows::StoredRow &Row) {
+  try {
+    return decodeFence(Row.Value);
+  } catch (const ProtocolError &Problem) {
+    LogEvent(LogLevel::Error, "fence_unreadable")
+        .with("detail", Problem.what());
+    return std::nullopt;
+  }
+}
+
 void LeaderDuty::onStatusRows(const std::vector<rows::StoredRow> &Rows) {
   StatusKnown = true;
   StatusChanged = Time.now();
@@ -70,12 +80,8 @@
         rows::RowVersion Version;
         if (!Page->Rows.empty()) {
           Version = Page->Rows.front().Version;
-          try {
-            Newest = decodeFence(Page->Rows.front().Value).Leader.Term;
-          } catch (const ProtocolError &Problem) {
-            LogEvent(LogLevel::Error, "fence_unreadable")
-                .with("detail", Problem.what());
-          }
+          if (auto Found = readableFence(Page->Rows.front()))
+            Newest = Found->Leader.Term;
         }
         if (Newest > Status.Leader.Term) {
           // Another process has just taken over; its status row, written
@@ -129,16 +135,8 @@
   Store.read(exactly(intake::fenceRow()), CallTimeout,
              [this, Mine, Begun](const rows::ReadOutcome &Outcome) {
                const auto *Page = std::get_if<rows::RowPage>(&Outcome);
-               bool Ours = false;
-               if (Page && !Page->Rows.empty()) {
-                 try {
-                   Ours = decodeFence(Page->Rows.front().Value) == Mine;
-                 } catch (const ProtocolError &Problem) {
-                   LogEvent(LogLevel::Error, "fence_unreadable")
-                       .with("detail", Problem.what());
-                 }
-               }
-               if (Ours)
+               if (Page && !Page->Rows.empty() &&
+                   readableFence(Page->Rows.front()) == Mine)
                  return beginReign(Mine, Begun, Page->Rows.front().Version);
                // If the transaction is applied later, the status row shows
                // this process as leader and it takes over from itself.
--- a/src/leadership/Reign.h
+++ b/src/leadership/Reign.h
@@ -5,6 +5,7 @@
 #include "daisyspool/leadership/LeaderDuty.h"
 
 #include <map>
+#include <optional>
 
 namespace daisyspool::leadership {
 
@@ -16,6 +17,9 @@
 /// Pause before a call that failed is repeated.
 inline constexpr Millis RetryPause{60};
 
+/// The fence in \p Row; nothing, with a log line, if it cannot be read.
+std::optional<Fence> readableFence(const rows::StoredRow &Row);
+
 /// One transaction of a leader.
 struct LeaderDuty::Batch {
   std::uint64_t Number = 0;
--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -76,16 +76,6 @@
       }));
 }
 
-bool hasAssigned(const JobProgress &Job) {
-  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
-    for (const StepProgress &Step : Occurrence.Steps)
-      for (const TaskProgress &Task : Step.Tasks)
-        if (Task.Phase == TaskPhase::Assigned)
-          return true;
-
-  return false;
-}
-
 json parse(std::string_view Bytes) {
   json Whole = json::from_msgpack(Bytes.begin(), Bytes.end());
   int Status = Whole.at(0);
@@ -124,6 +114,19 @@
   });
 }
 
+std::vector<TaskName> assignedTasks(const JobProgress &Job) {
+  std::vector<TaskName> Result;
+  for (std::uint32_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (std::uint32_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I) {
+      const auto &Tasks = Job.Occurrences[K].Steps[I].Tasks;
+      for (std::uint32_t N = 0; N < Tasks.size(); ++N)
+        if (Tasks[N].Phase == TaskPhase::Assigned)
+          Result.push_back({Job.Record.Id, K, I, N});
+    }
+
+  return Result;
+}
+
 bool isComplete(const JobProgress &Job) {
   std::size_t Times = std::max(1U, Job.Record.Definition.Repeats.Times);
   if (Job.Occurrences.size() < Times)
@@ -169,7 +172,7 @@
   json Whole = json::array({static_cast<int>(Job.Status)});
   // Runs of a cancelled job are kept until they have ended, so that the next
   // leader stops them too.
-  if (!isFinal(Job.Status) || hasAssigned(Job)) {
+  if (!isFinal(Job.Status) || !assignedTasks(Job).empty()) {
     json Occurrences = json::array();
     for (const OccurrenceProgress &Occurrence : Job.Occurrences)
       Occurrences.push_back(toJson(Occurrence));
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -80,23 +80,19 @@
     Job.Status = JobStatus::Cancelled;
     markDirty(Job);
   }
-  for (std::uint32_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (std::uint32_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I) {
-      auto &Tasks = Job.Occurrences[K].Steps[I].Tasks;
-      for (std::uint32_t N = 0; N < Tasks.size(); ++N) {
-        if (Tasks[N].Phase != TaskPhase::Assigned)
-          continue;
-        addVm(Tasks[N].Vm, Now);
-        assign(Job, {Id, K, I, N}, Tasks[N].LastRun, Vms.at(Tasks[N].Vm), Now);
-        Assignment &Run = Vms.at(Tasks[N].Vm).Assigned.at({Id, K, I, N});
-        Run.Life = Tasks[N].Life;
-        Run.Commit = RestoredCommit;
-        // The first answer of the agent tells whether it has the order.
-        Run.SentIn = 1;
-        Run.EverSent = true;
-        Run.Stopping = isFinal(Job.Status);
-      }
-    }
+  for (const TaskName &Name : assignedTasks(Job)) {
+    const TaskProgress &Task = *Job.find(Name);
+    addVm(Task.Vm, Now);
+    VmState &Vm = Vms.at(Task.Vm);
+    assign(Job, Name, Task.LastRun, Vm, Now);
+    Assignment &Run = Vm.Assigned.at(Name);
+    Run.Life = Task.Life;
+    Run.Commit = RestoredCommit;
+    // The first answer of the agent tells whether it has the order.
+    Run.SentIn = 1;
+    Run.EverSent = true;
+    Run.Stopping = isFinal(Job.Status);
+  }
   if (isFinal(Job.Status))
     Open.erase(Id);
 }
@@ -111,8 +107,6 @@
   return true;
 }
 
-void Scheduler::forget(const JobId &Id) { Jobs.erase(Id); }
-
 void Scheduler::configure(const workload::FleetConfig &Next) {
   Fleet = Next;
   for (auto &[Id, Job] : Jobs)
@@ -150,13 +144,8 @@
   LogEvent(LogLevel::Info, "job_ended")
       .with("job", Job.Record.Id)
       .with("status", static_cast<std::int64_t>(Status));
-  for (std::uint32_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (std::uint32_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I) {
-      auto &Tasks = Job.Occurrences[K].Steps[I].Tasks;
-      for (std::uint32_t N = 0; N < Tasks.size(); ++N)
-        if (Tasks[N].Phase == TaskPhase::Assigned)
-          stop(Vms.at(Tasks[N].Vm), {Job.Record.Id, K, I, N}, "job_ended");
-    }
+  for (const TaskName &Name : assignedTasks(Job))
+    stop(Vms.at(Job.find(Name)->Vm), Name, "job_ended");
 }
 
 void Scheduler::stop(VmState &Vm, const TaskName &Name, const char *Cause) {
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -13,20 +13,6 @@
   return File.endpoint(Section, Key);
 }
 
-/// A number of seconds, whole or with a fraction.
-Millis seconds(IniFile &File, std::string_view Section, std::string_view Key,
-               Millis Default) {
-  std::string Text = File.textOr(Section, Key, "");
-  if (Text.empty())
-    return Default;
-
-  try {
-    return Millis(static_cast<std::int64_t>(std::stod(Text) * 1000));
-  } catch (const std::exception &) {
-    File.fail(Section, Key, "a number of seconds");
-  }
-}
-
 Millis milliseconds(IniFile &File, std::string_view Section,
                     std::string_view Key, Millis Default) {
   std::string Text = File.textOr(Section, Key, "");
@@ -58,8 +44,6 @@
       milliseconds(File, "bounds", "max_lease_ms", Result.MaxLease);
   Result.StopTimeout =
       milliseconds(File, "bounds", "stop_timeout_ms", Result.StopTimeout);
-  Result.GracePeriod =
-      seconds(File, "bounds", "grace_period_s", Result.GracePeriod);
   File.rejectUnread();
   return Result;
 }
