Encode syncs without a document tree

Cycle counters in a scratch copy show decoding of syncs as the largest part, 44 to 83 million cycles a second of 122 to 194. Change: the two messages travel through wire/Adaptors.h, which now carries any structure with a fields() function. Protocol version 2.

--- a/include/daisyspool/runner/Sync.h
+++ b/include/daisyspool/runner/Sync.h
@@ -128,6 +128,8 @@
   bool Draining = false;
   /// Least time left while it drains.
   Millis Remaining{0};
+
+  bool operator==(const WorkerReport &) const = default;
 };
 
 /// An agent's answer: always a whole snapshot, so that any leader can
--- a/include/daisyspool/wire/Adaptors.h
+++ b/include/daisyspool/wire/Adaptors.h
@@ -7,7 +7,9 @@
 
 #include <msgpack.hpp>
 
+#include <cstddef>
 #include <string>
+#include <tuple>
 #include <type_traits>
 
 namespace daisyspool::wire {
@@ -20,6 +22,14 @@
 concept WireEnum = std::is_enum_v<Enum> && LastEnumerator<Enum>
 >= 0;
 
+/// A structure that travels as an array of its fields: a function fields() in
+/// its namespace returns references to them in order. For structures whose own
+/// header does not know MessagePack.
+template <typename T>
+concept WireFields = requires(T &Value) {
+  fields(Value);
+};
+
 } // namespace daisyspool::wire
 
 /// Lets MSGPACK_DEFINE_ARRAY carry the project's strong types: an id as a
@@ -98,6 +108,32 @@
     }
   };
 
+  template <daisyspool::wire::WireFields T> struct convert<T> {
+    const msgpack::object &operator()(const msgpack::object &From,
+                                      T &To) const {
+      auto Fields = fields(To);
+      constexpr std::size_t Count = std::tuple_size_v<decltype(Fields)>;
+      if (From.type != msgpack::type::ARRAY || From.via.array.size != Count)
+        throw msgpack::type_error();
+      const msgpack::object *Next = From.via.array.ptr;
+      std::apply([&Next](auto &...Each) { ((Next++)->convert(Each), ...); },
+                 Fields);
+      return From;
+    }
+  };
+
+  template <daisyspool::wire::WireFields T> struct pack<T> {
+    template <typename Stream>
+    msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &To,
+                                        const T &From) const {
+      // fields() serves both directions; packing leaves the value as it is.
+      auto Fields = fields(const_cast<T &>(From));
+      To.pack_array(std::tuple_size_v<decltype(Fields)>);
+      std::apply([&To](auto &...Each) { (To.pack(Each), ...); }, Fields);
+      return To;
+    }
+  };
+
   template <> struct convert<daisyspool::Resources> {
     const msgpack::object &operator()(const msgpack::object &From,
                                       daisyspool::Resources &To) const {
@@ -138,6 +174,22 @@
     }
   };
 
+  template <> struct convert<daisyspool::Millis> {
+    const msgpack::object &operator()(const msgpack::object &From,
+                                      daisyspool::Millis &To) const {
+      To = daisyspool::Millis(From.as<std::int64_t>());
+      return From;
+    }
+  };
+
+  template <> struct pack<daisyspool::Millis> {
+    template <typename Stream>
+    msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &To,
+                                        const daisyspool::Millis &From) const {
+      return To.pack(static_cast<std::int64_t>(From.count()));
+    }
+  };
+
   } // namespace adaptor
 }
 } // namespace msgpack
--- a/src/runner/Sync.cpp
+++ b/src/runner/Sync.cpp
@@ -1,208 +1,116 @@
 #include "daisyspool/runner/Sync.h"
 
 #include "daisyspool/core/Errors.h"
+#include "daisyspool/wire/Adaptors.h"
 
-#include <nlohmann/json.hpp>
+namespace daisyspool::wire {
 
-namespace daisyspool::runner {
-
-namespace {
+template <>
+inline constexpr int LastEnumerator<runner::EndCause> =
+    runner::EndCauseCount - 1;
+template <>
+inline constexpr int LastEnumerator<runner::RefusalReason> =
+    runner::RefusalReasonCount - 1;
 
-using nlohmann::json;
+} // namespace daisyspool::wire
 
-/// Raised with every change of the messages' form.
-constexpr int SyncProtocolVersion = 1;
+namespace daisyspool::workload {
 
-std::string pack(const json &What) {
-  auto Bytes = json::to_msgpack(What);
-  return {Bytes.begin(), Bytes.end()};
+static auto fields(TaskName &Of) {
+  return std::tie(Of.Job, Of.Occurrence, Of.Step, Of.Index);
 }
 
-json toJson(const RunName &Name) {
-  return json::array({workload::toString(Name.Task), Name.Run.value()});
-}
-
-RunName runFromJson(const json &From) {
-  auto Task = workload::parseTaskName(From.at(0).get<std::string>());
-  if (!Task)
-    throw ProtocolError("sync: malformed task name");
-
-  return {*Task, RunNumber(From.at(1))};
-}
+} // namespace daisyspool::workload
 
-json toJson(const StartOrder &Order) {
-  json Harmless = json::array();
-  for (const workload::ImageId &Image : Order.HarmlessTo)
-    Harmless.push_back(Image.str());
-  return json::array({toJson(Order.Name), Order.Life.value(), Order.Spec,
-                      Order.Checkpoint, Order.Image.str(), Order.FillsIdleCpu,
-                      Order.TailTarget.count(), Order.StallAfter.count(),
-                      std::move(Harmless)});
-}
+namespace daisyspool::runner {
 
-StartOrder startFromJson(const json &From) {
-  StartOrder Order;
-  Order.Name = runFromJson(From.at(0));
-  Order.Life = WorkerLife(From.at(1));
-  Order.Spec = From.at(2);
-  Order.Checkpoint = From.at(3);
-  Order.Image = workload::ImageId(From.at(4));
-  Order.FillsIdleCpu = From.at(5);
-  Order.TailTarget = Millis(From.at(6).get<std::int64_t>());
-  Order.StallAfter = Millis(From.at(7).get<std::int64_t>());
-  for (const json &Image : From.at(8))
-    Order.HarmlessTo.emplace_back(Image.get<std::string>());
-  return Order;
-}
+static auto fields(RunName &Of) { return std::tie(Of.Task, Of.Run); }
 
-json toJson(const WorkerReport &Worker) {
-  return json::array(
-      {Worker.Life.value(), Worker.Id.str(), Worker.Service.str(),
-       Worker.FailureDomain.str(), Worker.Capacity.Cpu.value(),
-       Worker.Capacity.Memory.value(), Worker.Capacity.Accelerator.value(),
-       Worker.Labels, Worker.Draining, Worker.Remaining.count()});
+static auto fields(StartOrder &Of) {
+  return std::tie(Of.Name, Of.Life, Of.Spec, Of.Checkpoint, Of.Image,
+                  Of.FillsIdleCpu, Of.TailTarget, Of.StallAfter, Of.HarmlessTo);
 }
 
-WorkerReport workerFromJson(const json &From) {
-  WorkerReport Worker;
-  Worker.Life = WorkerLife(From.at(0));
-  Worker.Id = TargetId(From.at(1));
-  Worker.Service = ServiceId(From.at(2));
-  Worker.FailureDomain = FailureDomainId(From.at(3));
-  Worker.Capacity = {MilliCores(From.at(4)), MebiBytes(From.at(5)),
-                     Accelerators(From.at(6))};
-  Worker.Labels = From.at(7).get<std::vector<std::string>>();
-  Worker.Draining = From.at(8);
-  Worker.Remaining = Millis(From.at(9).get<std::int64_t>());
-  return Worker;
+static auto fields(WorkerReport &Of) {
+  return std::tie(Of.Life, Of.Id, Of.Service, Of.FailureDomain, Of.Capacity,
+                  Of.Labels, Of.Draining, Of.Remaining);
 }
 
-json toJson(const RunningTask &Task) {
-  return json::array(
-      {toJson(Task.Name), Task.Checkpoint, Task.Percent, Task.Load});
+static auto fields(RunningTask &Of) {
+  return std::tie(Of.Name, Of.Checkpoint, Of.Percent, Of.Load);
 }
 
-json toJson(const EndedTask &End) {
-  return json::array({End.Number.value(), toJson(End.Name),
-                      static_cast<int>(End.Cause), End.Checkpoint});
+static auto fields(EndedTask &Of) {
+  return std::tie(Of.Number, Of.Name, Of.Cause, Of.Checkpoint);
 }
 
-json toJson(const RefusedRun &Refusal) {
-  return json::array(
-      {Refusal.Number, toJson(Refusal.Name), static_cast<int>(Refusal.Reason)});
+static auto fields(RefusedRun &Of) {
+  return std::tie(Of.Number, Of.Name, Of.Reason);
 }
 
-template <typename T> json listToJson(const std::vector<T> &From) {
-  json Result = json::array();
-  for (const T &Each : From)
-    Result.push_back(toJson(Each));
-
-  return Result;
+static auto fields(SyncRequest &Of) {
+  return std::tie(Of.Leader, Of.Number, Of.EchoedStamp, Of.StampedBy, Of.Grant,
+                  Of.EndsOf, Of.EndsRecorded, Of.RefusalsSeen, Of.Starts,
+                  Of.Stops, Of.Wait);
 }
 
-int bounded(const json &From, int Count) {
-  int Value = From;
-  if (Value < 0 || Value >= Count)
-    throw ProtocolError("sync: unknown enumerator " + std::to_string(Value));
-
-  return Value;
+static auto fields(SyncReply &Of) {
+  return std::tie(Of.Accepted, Of.Newest, Of.AgentIncarnation, Of.Stamp,
+                  Of.GrantLeft, Of.LeaseExpired, Of.Worker, Of.Running,
+                  Of.Starting, Of.Ended, Of.Refused, Of.Stalled);
 }
 
-EndedTask endFromJson(const json &From) {
-  return {EndNumber(From.at(0)), runFromJson(From.at(1)),
-          static_cast<EndCause>(bounded(From.at(2), EndCauseCount)),
-          From.at(3)};
-}
+namespace {
 
-RefusedRun refusalFromJson(const json &From) {
-  return {From.at(0), runFromJson(From.at(1)),
-          static_cast<RefusalReason>(bounded(From.at(2), RefusalReasonCount))};
-}
+/// Raised with every change of the messages' form.
+constexpr int SyncProtocolVersion = 2;
 
-template <typename T, typename Parse>
-std::vector<T> listFromJson(const json &From, Parse ParseOne) {
-  std::vector<T> Result;
-  Result.reserve(From.size());
-  for (const json &Each : From)
-    Result.push_back(ParseOne(Each));
+// Without limits a forged array header reserves gigabytes before the first
+// element is read.
+constexpr std::size_t MaxElements = 100000;
+constexpr std::size_t MaxBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxDepth = 16;
 
-  return Result;
+template <typename T> std::string pack(const T &What) {
+  msgpack::sbuffer Buffer;
+  msgpack::packer<msgpack::sbuffer> Packer(Buffer);
+  Packer.pack_array(2);
+  Packer.pack(SyncProtocolVersion);
+  Packer.pack(What);
+  return {Buffer.data(), Buffer.size()};
 }
 
-/// Parses a message whose first element is the protocol's version.
-json unpack(std::string_view Bytes) {
-  json Whole = json::from_msgpack(Bytes.begin(), Bytes.end());
-  if (Whole.at(0) != SyncProtocolVersion)
-    throw ProtocolError("sync: another protocol version");
-
-  return Whole;
+template <typename T> T unpack(std::string_view Bytes) {
+  try {
+    msgpack::unpack_limit Limit(MaxElements, 0, MaxBytes, MaxBytes, 0,
+                                MaxDepth);
+    auto Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), nullptr, nullptr, Limit);
+    const msgpack::object &Whole = Handle.get();
+    if (Whole.type != msgpack::type::ARRAY || Whole.via.array.size != 2)
+      throw ProtocolError("sync: not a message");
+    if (Whole.via.array.ptr[0].as<int>() != SyncProtocolVersion)
+      throw ProtocolError("sync: another protocol version");
+    return Whole.via.array.ptr[1].as<T>();
+  } catch (const msgpack::type_error &) {
+    throw ProtocolError("sync: a field has the wrong type");
+  } catch (const msgpack::unpack_error &) {
+    throw ProtocolError("sync: not valid MessagePack");
+  }
 }
 
 } // namespace
 
-std::string encode(const SyncRequest &What) {
-  return pack(json::array(
-      {SyncProtocolVersion, What.Leader.value(), What.Number, What.EchoedStamp,
-       What.StampedBy, What.Grant.count(), What.EndsOf.value(),
-       What.EndsRecorded.value(), What.RefusalsSeen, listToJson(What.Starts),
-       listToJson(What.Stops), What.Wait.count()}));
-}
+std::string encode(const SyncRequest &What) { return pack(What); }
 
-SyncRequest decodeSyncRequest(std::string_view Bytes) {
-  try {
-    json From = unpack(Bytes);
-    SyncRequest What;
-    What.Leader = Epoch(From.at(1));
-    What.Number = From.at(2);
-    What.EchoedStamp = From.at(3);
-    What.StampedBy = From.at(4);
-    What.Grant = Millis(From.at(5).get<std::int64_t>());
-    What.EndsOf = WorkerLife(From.at(6));
-    What.EndsRecorded = EndNumber(From.at(7));
-    What.RefusalsSeen = From.at(8);
-    What.Starts = listFromJson<StartOrder>(From.at(9), startFromJson);
-    What.Stops = listFromJson<RunName>(From.at(10), runFromJson);
-    What.Wait = Millis(From.at(11).get<std::int64_t>());
-    return What;
-  } catch (const json::exception &Problem) {
-    throw ProtocolError(std::string("sync request: ") + Problem.what());
-  }
-}
+std::string encode(const SyncReply &What) { return pack(What); }
 
-std::string encode(const SyncReply &What) {
-  return pack(json::array(
-      {SyncProtocolVersion, What.Accepted, What.Newest.value(),
-       What.AgentIncarnation, What.Stamp, What.GrantLeft.count(),
-       What.LeaseExpired, What.Worker ? toJson(*What.Worker) : json(nullptr),
-       listToJson(What.Running), listToJson(What.Starting),
-       listToJson(What.Ended), listToJson(What.Refused),
-       listToJson(What.Stalled)}));
+SyncRequest decodeSyncRequest(std::string_view Bytes) {
+  return unpack<SyncRequest>(Bytes);
 }
 
 SyncReply decodeSyncReply(std::string_view Bytes) {
-  try {
-    json From = unpack(Bytes);
-    SyncReply What;
-    What.Accepted = From.at(1);
-    What.Newest = Epoch(From.at(2));
-    What.AgentIncarnation = From.at(3);
-    What.Stamp = From.at(4);
-    What.GrantLeft = Millis(From.at(5).get<std::int64_t>());
-    What.LeaseExpired = From.at(6);
-    if (!From.at(7).is_null())
-      What.Worker = workerFromJson(From.at(7));
-    What.Running = listFromJson<RunningTask>(From.at(8), [](const json &Each) {
-      return RunningTask{runFromJson(Each.at(0)), Each.at(1), Each.at(2),
-                         Each.at(3)};
-    });
-    What.Starting = listFromJson<RunName>(From.at(9), runFromJson);
-    What.Ended = listFromJson<EndedTask>(From.at(10), endFromJson);
-    What.Refused = listFromJson<RefusedRun>(From.at(11), refusalFromJson);
-    What.Stalled = listFromJson<RunName>(From.at(12), runFromJson);
-    return What;
-  } catch (const json::exception &Problem) {
-    throw ProtocolError(std::string("sync reply: ") + Problem.what());
-  }
+  return unpack<SyncReply>(Bytes);
 }
 
 } // namespace daisyspool::runner
