Format the time of a log line without Boost.Log's formatter

Cause: a busy leader writes up to 900 lines a second; a line took about 30,000 cycles, 15 million a second, most of it in formatting the time through a stream. Ruled out: fewer lines, as each one is a decision that on-call engineers need. Change: the time is formatted with strftime; the form of the lines is unchanged.

--- a/src/telemetry/Log.cpp
+++ b/src/telemetry/Log.cpp
@@ -5,13 +5,14 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 
+#include <array>
 #include <atomic>
 #include <cassert>
 #include <chrono>
+#include <cstdio>
+#include <ctime>
 #include <fcntl.h>
 #include <mutex>
 #include <ostream>
@@ -61,6 +62,23 @@
   return "error";
 }
 
+/// The time of day in UTC. Boost.Log's own formatter takes longer than all the
+/// rest of a line, and a busy leader writes hundreds a second.
+std::string timeText() {
+  using namespace std::chrono;
+  auto Now = system_clock::now();
+  auto Micros = duration_cast<microseconds>(Now.time_since_epoch()).count();
+  std::time_t Seconds = system_clock::to_time_t(Now);
+  std::tm Fields{};
+  ::gmtime_r(&Seconds, &Fields);
+  std::array<char, 40> Text{};
+  std::size_t Length =
+      std::strftime(Text.data(), Text.size(), "%Y-%m-%dT%H:%M:%S", &Fields);
+  std::snprintf(Text.data() + Length, Text.size() - Length, ".%06d",
+                static_cast<int>(Micros % 1000000));
+  return Text.data();
+}
+
 /// Returns how many lines were left out before this one, or -1 if this one is
 /// to be left out too.
 int admitLine(const std::string &Name) {
@@ -126,15 +144,9 @@
   static std::ostream Output(&Buffer);
   state().Process = std::string(Process);
   state().Least = Least;
-  log::add_common_attributes();
-  log::add_console_log(
-      Output, log::keywords::auto_flush = true,
-      log::keywords::format =
-          (log::expressions::stream
-           << "time="
-           << log::expressions::format_date_time<boost::posix_time::ptime>(
-                  "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-           << " " << log::expressions::smessage));
+  log::add_console_log(Output, log::keywords::auto_flush = true,
+                       log::keywords::format = (log::expressions::stream
+                                                << log::expressions::smessage));
 }
 
 LogLevel parseLogLevel(std::string_view Name) {
@@ -199,7 +211,7 @@
     with("dropped", Dropped);
 
   static boost::log::sources::logger_mt Logger;
-  BOOST_LOG(Logger) << "level=" << toString(Level)
+  BOOST_LOG(Logger) << "time=" << timeText() << " level=" << toString(Level)
                     << " process=" << state().Process << " event=" << Name
                     << Line;
 }
