Decide once for each transaction, from figures that are kept

Ruled out: a longer group delay, which would add to every start. Change: a pass follows a transaction and takes in all that came during it; jobs keep their ready tasks, remaining chain and work; runs remember the answer that listed them; progress is written by the packer.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -72,6 +72,11 @@
   std::uint32_t AssignedTasks = 0;
   TimePoint IdleSince{};
   bool Dirty = false;
+  /// Tasks without a run whose turn has come.
+  std::uint32_t ReadyTasks = 0;
+  /// remainingChain() and remainingWork(), as of the last recount().
+  Millis ChainLeft{0};
+  std::int64_t WorkLeft = 0;
 
   const workload::StepDefinition &definition(const TaskName &Task) const {
     return Record.Definition.Steps[Task.Step];
@@ -83,6 +88,9 @@
 /// Adds an occurrence with all tasks waiting.
 void addOccurrence(JobProgress &Job);
 
+/// Brings the derived figures up to date after tasks were done or added.
+void recount(JobProgress &Job);
+
 /// Whether all tasks of the steps before \p Step are done.
 bool isReady(const JobProgress &Job, const OccurrenceProgress &Occurrence,
              std::size_t Step);
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -136,6 +136,8 @@
                      TimePoint Now);
   void reconcile(VmState &Vm, std::uint64_t Number,
                  const runner::SyncReply &Reply, TimePoint Now);
+  void noteListed(VmState &Vm, const runner::SyncReply &Reply);
+  void stopStalled(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
   void noteIdle(JobProgress &Job);
   void requeue(VmState &Vm, const TaskName &Name, TimePoint NotBefore,
                const char *Cause);
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -46,6 +46,8 @@
   bool Stopping = false;
   std::uint64_t StopSentIn = 0;
   std::uint32_t Percent = 0;
+  /// The newest of the VM's replies that names it.
+  std::uint64_t ListedIn = 0;
   TimePoint Since{};
 };
 
@@ -57,6 +59,8 @@
   std::uint64_t AgentIncarnation = 0;
   std::uint64_t NewestStamp = 0;
   TimePoint LastReply{};
+  /// Replies so far.
+  std::uint64_t Replies = 0;
   /// Until then the worker may run on, whatever is heard.
   TimePoint GrantBound{};
   std::uint64_t LastSync = 0;
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -99,7 +99,10 @@
 }
 
 void LeaderDuty::work() {
-  Current->Jobs.schedule(Time.now(), Time.wallNow());
+  // Nothing that is decided during a transaction can be sent before the next
+  // one, so one decision after it takes all events in.
+  if (!Current->Committing)
+    Current->Jobs.schedule(Time.now(), Time.wallNow());
   pump();
   dispatch();
 }
--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -1,6 +1,7 @@
 #include "daisyspool/scheduling/JobProgress.h"
 
 #include "daisyspool/core/Errors.h"
+#include "daisyspool/wire/Adaptors.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,15 +18,25 @@
 constexpr int FreshTask = 0;
 constexpr int DoneTask = 1;
 
-json toJson(const TaskProgress &Task) {
-  if (Task.Phase == TaskPhase::Done)
-    return DoneTask;
-  if (Task.Phase == TaskPhase::Waiting && Task.LastRun == RunNumber{})
-    return FreshTask;
+using Packer = msgpack::packer<msgpack::sbuffer>;
 
-  return json::array({Task.Phase == TaskPhase::Assigned, Task.LastRun.value(),
-                      Task.Failures, Task.Vm.str(), Task.Life.value(),
-                      Task.Checkpoint});
+void pack(Packer &To, const TaskProgress &Task) {
+  if (Task.Phase == TaskPhase::Done) {
+    To.pack(DoneTask);
+    return;
+  }
+  if (Task.Phase == TaskPhase::Waiting && Task.LastRun == RunNumber{}) {
+    To.pack(FreshTask);
+    return;
+  }
+
+  To.pack_array(6);
+  To.pack(Task.Phase == TaskPhase::Assigned);
+  To.pack(Task.LastRun);
+  To.pack(Task.Failures);
+  To.pack(Task.Vm);
+  To.pack(Task.Life);
+  To.pack(Task.Checkpoint);
 }
 
 TaskProgress taskFromJson(const json &From) {
@@ -46,20 +57,17 @@
   return Task;
 }
 
-json toJson(const OccurrenceProgress &Occurrence) {
-  json Steps = json::array();
+void pack(Packer &To, const OccurrenceProgress &Occurrence) {
+  To.pack_array(static_cast<std::uint32_t>(Occurrence.Steps.size()));
   for (const StepProgress &Step : Occurrence.Steps) {
     if (Step.complete()) {
-      Steps.push_back(DoneTask);
+      To.pack(DoneTask);
       continue;
     }
-    json Tasks = json::array();
+    To.pack_array(static_cast<std::uint32_t>(Step.Tasks.size()));
     for (const TaskProgress &Task : Step.Tasks)
-      Tasks.push_back(toJson(Task));
-    Steps.push_back(std::move(Tasks));
+      pack(To, Task);
   }
-
-  return Steps;
 }
 
 void stepFromJson(StepProgress &Step, const json &From) {
@@ -104,6 +112,23 @@
     Occurrence.Steps.back().Tasks.resize(Step.Count);
   }
   Job.Occurrences.push_back(std::move(Occurrence));
+  recount(Job);
+}
+
+void recount(JobProgress &Job) {
+  Job.ReadyTasks = 0;
+  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
+    for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      const StepProgress &Step = Occurrence.Steps[I];
+      if (Step.complete() || !isReady(Job, Occurrence, I))
+        continue;
+      Job.ReadyTasks += static_cast<std::uint32_t>(std::count_if(
+          Step.Tasks.begin(), Step.Tasks.end(), [](const auto &Task) {
+            return Task.Phase == TaskPhase::Waiting;
+          }));
+    }
+  Job.ChainLeft = remainingChain(Job);
+  Job.WorkLeft = remainingWork(Job);
 }
 
 bool isReady(const JobProgress &Job, const OccurrenceProgress &Occurrence,
@@ -169,17 +194,19 @@
 }
 
 std::string encodeProgress(const JobProgress &Job) {
-  json Whole = json::array({static_cast<int>(Job.Status)});
   // Runs of a cancelled job are kept until they have ended, so that the next
   // leader stops them too.
-  if (!isFinal(Job.Status) || !assignedTasks(Job).empty()) {
-    json Occurrences = json::array();
+  bool WithTasks = !isFinal(Job.Status) || !assignedTasks(Job).empty();
+  msgpack::sbuffer Buffer;
+  Packer To(Buffer);
+  To.pack_array(WithTasks ? 2 : 1);
+  To.pack(static_cast<int>(Job.Status));
+  if (WithTasks) {
+    To.pack_array(static_cast<std::uint32_t>(Job.Occurrences.size()));
     for (const OccurrenceProgress &Occurrence : Job.Occurrences)
-      Occurrences.push_back(toJson(Occurrence));
-    Whole.push_back(std::move(Occurrences));
+      pack(To, Occurrence);
   }
-  auto Bytes = json::to_msgpack(Whole);
-  return {Bytes.begin(), Bytes.end()};
+  return {Buffer.data(), Buffer.size()};
 }
 
 void decodeProgress(JobProgress &Job, std::string_view Bytes) {
@@ -195,6 +222,7 @@
     for (std::size_t K = 0; K < Occurrences.size(); ++K)
       for (std::size_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I)
         stepFromJson(Job.Occurrences[K].Steps[I], Occurrences.at(K).at(I));
+    recount(Job);
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("stored progress: ") + Problem.what());
   }
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -15,7 +15,7 @@
 /// earns its caller something up to three times its objective.
 int lateness(const JobProgress &Job, TimePoint Now) {
   constexpr int UsefulFactor = 3;
-  TimePoint Finish = Now + remainingChain(Job);
+  TimePoint Finish = Now + Job.ChainLeft;
   if (Finish <= Job.Objective)
     return 0;
 
@@ -24,20 +24,6 @@
              : 2;
 }
 
-bool hasWaiting(const JobProgress &Job, TimePoint Now) {
-  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
-    for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
-      const StepProgress &Step = Occurrence.Steps[I];
-      if (Step.complete() || !isReady(Job, Occurrence, I))
-        continue;
-      for (const TaskProgress &Task : Step.Tasks)
-        if (Task.Phase == TaskPhase::Waiting && Task.NotBefore <= Now)
-          return true;
-    }
-
-  return false;
-}
-
 } // namespace
 
 void Scheduler::addJob(const workload::JobRecord &Record, Millis Age,
@@ -52,9 +38,11 @@
     Job.Record.Policy = Route->Policy;
   if (Record.Definition.Repeats.Times == 0)
     addOccurrence(Job);
+  else
+    recount(Job);
   Job.Arrival = Now - std::max(Age, Millis(0));
   Job.IdleSince = Now;
-  auto Chain = remainingChain(Job).count();
+  auto Chain = Job.ChainLeft.count();
   Job.Objective = Job.Arrival + Record.Policy.LatencyTarget +
                   Millis(static_cast<std::int64_t>(static_cast<double>(Chain) *
                                                    Record.Policy.SlackFactor));
@@ -184,6 +172,7 @@
     return;
   Task->Phase = TaskPhase::Waiting;
   Task->NotBefore = NotBefore;
+  ++Job.ReadyTasks;
   noteIdle(Job);
   markDirty(Job);
   LogEvent(LogLevel::Info, "run_over")
@@ -256,9 +245,9 @@
   using Key = std::tuple<int, int, std::int64_t>;
   std::vector<std::pair<Key, JobProgress *>> Ordered;
   for (auto &[Id, Job] : Open)
-    if (hasWaiting(*Job, Now))
+    if (Job->ReadyTasks > 0)
       Ordered.emplace_back(Key{Job->Record.Policy.Priority, lateness(*Job, Now),
-                               remainingWork(*Job)},
+                               Job->WorkLeft},
                            Job);
   std::sort(Ordered.begin(), Ordered.end());
   std::vector<JobProgress *> Result;
@@ -377,6 +366,8 @@
                        VmState &Vm, TimePoint Now) {
   const auto &Step = Job.definition(Name);
   TaskProgress &Task = *Job.find(Name);
+  if (Task.Phase == TaskPhase::Waiting)
+    --Job.ReadyTasks;
   Task.Phase = TaskPhase::Assigned;
   Task.LastRun = Run;
   Task.Vm = Vm.Id;
@@ -459,9 +450,10 @@
 
   for (VmState *Vm : VmList) {
     for (auto &[Name, Run] : Vm->Assigned) {
+      if (Run.Commit != CommitNumber{})
+        continue;
       auto Found = Jobs.find(Name.Job);
-      bool Written = Found == Jobs.end() || !Found->second.Dirty;
-      if (Run.Commit == CommitNumber{} && Written)
+      if (Found == Jobs.end() || !Found->second.Dirty)
         Run.Commit = Number;
     }
     // Ends are acknowledged only when every job that they touched is written.
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -5,7 +5,6 @@
 #include "daisyspool/telemetry/Log.h"
 
 #include <algorithm>
-#include <set>
 
 namespace daisyspool::scheduling {
 
@@ -66,6 +65,8 @@
     return;
   }
 
+  if (Vm.Worker == Reply.Worker)
+    return;
   bool NewLife = !Vm.Worker || Vm.Worker->Life != Reply.Worker->Life;
   bool Leaves = Reply.Worker->Draining && (NewLife || !Vm.Worker->Draining);
   if (NewLife || Leaves)
@@ -143,6 +144,7 @@
       Step.Tasks[N].Phase = TaskPhase::Done;
       ++Step.Done;
     }
+  recount(Job);
   markDirty(Job);
   if (!isFinal(Job.Status) && isComplete(Job))
     end(Job, JobStatus::Completed);
@@ -192,28 +194,34 @@
   }
 }
 
-void Scheduler::reconcile(VmState &Vm, std::uint64_t Number,
-                          const runner::SyncReply &Reply, TimePoint Now) {
-  std::set<runner::RunName> Present(Reply.Starting.begin(),
-                                    Reply.Starting.end());
-  std::map<runner::RunName, const runner::RunningTask *> Running;
+void Scheduler::noteListed(VmState &Vm, const runner::SyncReply &Reply) {
+  ++Vm.Replies;
+  auto Listed = [&Vm](const runner::RunName &Name) -> Assignment * {
+    auto Run = Vm.Assigned.find(Name.Task);
+    if (Run == Vm.Assigned.end() || Run->second.Run != Name.Run)
+      return nullptr;
+    Run->second.ListedIn = Vm.Replies;
+    return &Run->second;
+  };
   for (const runner::RunningTask &Task : Reply.Running)
-    Running.emplace(Task.Name, &Task);
+    if (Assignment *Run = Listed(Task.Name)) {
+      Run->Percent = Task.Percent;
+      Run->Load = Task.Load;
+    }
+  for (const runner::RunName &Name : Reply.Starting)
+    Listed(Name);
+}
 
+void Scheduler::reconcile(VmState &Vm, std::uint64_t Number,
+                          const runner::SyncReply &Reply, TimePoint Now) {
+  noteListed(Vm, Reply);
   std::vector<TaskName> Gone;
   for (auto &[Name, Run] : Vm.Assigned) {
-    runner::RunName Wanted{Name, Run.Run};
-    auto Listed = Running.find(Wanted);
-    if (Listed != Running.end() && !Reply.LeaseExpired) {
-      Run.Percent = Listed->second->Percent;
-      Run.Load = Listed->second->Load;
-      continue;
-    }
     if (Reply.LeaseExpired) {
       Gone.push_back(Name);
       continue;
     }
-    if (Present.count(Wanted) != 0)
+    if (Run.ListedIn == Vm.Replies)
       continue;
     bool OtherLife = Reply.Worker && Reply.Worker->Life != Run.Life;
     if (OtherLife)
@@ -225,7 +233,11 @@
   Tails.observe(Vm, Now);
   for (const TaskName &Name : Gone)
     requeue(Vm, Name, {}, Reply.LeaseExpired ? "lease_expired" : "new_life");
+  stopStalled(Vm, Reply, Now);
+}
 
+void Scheduler::stopStalled(VmState &Vm, const runner::SyncReply &Reply,
+                            TimePoint Now) {
   for (const runner::RunName &Stalled : Reply.Stalled) {
     auto Run = Vm.Assigned.find(Stalled.Task);
     if (Run == Vm.Assigned.end() || Run->second.Run != Stalled.Run ||
