Start tasks of services before short tasks, and keep room for them

The log shows 120 to 150 short tasks of the same class assigned a second and 3 tasks of services in 9 s: a service is older and larger than any short task, so the order by lateness and work puts it last, and each piece of room is too small for it before the next short task takes it. Ruled out: lost agents (no vm_lost in the log) and probation (no such line). Change: within a class services come first; a service without room keeps the VM where it will fit soonest. Three tests replay the load; two fail without.

--- a/include/daisyspool/scheduling/VmChoice.h
+++ b/include/daisyspool/scheduling/VmChoice.h
@@ -43,6 +43,13 @@
 VmState *chooseVm(std::vector<VmState *> &Vms, const VmRequest &Request,
                   TimePoint Now);
 
+/// The VM on which a task of a service that found no room will soonest have
+/// it, as other tasks there end by themselves; null if none would, and for
+/// other tasks. Load pattern: short tasks that fill each piece of room before
+/// the pieces are large enough for a service.
+VmState *chooseReservation(std::vector<VmState *> &Vms,
+                           const VmRequest &Request, TimePoint Now);
+
 /// Work of lower priority that gives way on one VM.
 struct Preemption {
   VmState *Vm = nullptr;
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -78,6 +78,9 @@
   MilliCores Filling;
   /// The part of Held that serving tasks hold.
   MilliCores ServingHeld;
+  /// Room that is kept, in the present pass, for a service that waits for
+  /// short tasks to end.
+  Resources Reserved;
   /// Expected tails by the image of a further filling task, until the runs or
   /// their figures change.
   std::map<workload::ImageId, double> ExpectedTails;
@@ -86,7 +89,7 @@
   /// No more than one new task at a time until then.
   TimePoint ProbationUntil{};
 
-  Resources free() const { return Worker->Capacity - Held; }
+  Resources free() const { return Worker->Capacity - Held - Reserved; }
 
   /// Adds an assignment and what it holds.
   void assign(const TaskName &Task, const Assignment &What);
--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -123,9 +123,8 @@
       if (Step.complete() || !isReady(Job, Occurrence, I))
         continue;
       Job.ReadyTasks += static_cast<std::uint32_t>(std::count_if(
-          Step.Tasks.begin(), Step.Tasks.end(), [](const auto &Task) {
-            return Task.Phase == TaskPhase::Waiting;
-          }));
+          Step.Tasks.begin(), Step.Tasks.end(),
+          [](const auto &Task) { return Task.Phase == TaskPhase::Waiting; }));
     }
   Job.ChainLeft = remainingChain(Job);
   Job.WorkLeft = remainingWork(Job);
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -24,6 +24,12 @@
              : 2;
 }
 
+bool isService(const JobProgress &Job) {
+  const auto &Steps = Job.Record.Definition.Steps;
+  return std::any_of(Steps.begin(), Steps.end(),
+                     [](const auto &Step) { return Step.LongRunning; });
+}
+
 } // namespace
 
 void Scheduler::addJob(const workload::JobRecord &Record, Millis Age,
@@ -240,14 +246,17 @@
 }
 
 std::vector<JobProgress *> Scheduler::scheduleOrder(TimePoint Now) {
+  // Load pattern: services lose tasks while short tasks of their class queue
+  // up. A service's users are without it until it runs, so it goes first.
+  //
   // Load pattern: a burst of batch far beyond the fleet. By deadline all jobs
   // would end late together; the least remaining work first ends most in time.
-  using Key = std::tuple<int, int, std::int64_t>;
+  using Key = std::tuple<int, bool, int, std::int64_t>;
   std::vector<std::pair<Key, JobProgress *>> Ordered;
   for (auto &[Id, Job] : Open)
     if (Job->ReadyTasks > 0)
-      Ordered.emplace_back(Key{Job->Record.Policy.Priority, lateness(*Job, Now),
-                               Job->WorkLeft},
+      Ordered.emplace_back(Key{Job->Record.Policy.Priority, !isService(*Job),
+                               lateness(*Job, Now), Job->WorkLeft},
                            Job);
   std::sort(Ordered.begin(), Ordered.end());
   std::vector<JobProgress *> Result;
@@ -268,6 +277,8 @@
     addDueOccurrences(*Job, Wall);
   Claimed.clear();
   BlockedFilling.clear();
+  for (VmState *Vm : VmList)
+    Vm->Reserved = {};
   for (JobProgress *Job : scheduleOrder(Now))
     placeJob(*Job, Now);
 }
@@ -319,6 +330,8 @@
     if (!Vm) {
       noteBlocked(Request);
       preemptFor(Job, Request, Now);
+      if (VmState *Kept = chooseReservation(VmList, Request, Now))
+        Kept->Reserved = Kept->Reserved + heldBy(*Request.Step);
       return;
     }
     ++Siblings[Vm->Id];
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -151,6 +151,28 @@
   return Best;
 }
 
+VmState *chooseReservation(std::vector<VmState *> &Vms,
+                           const VmRequest &Request, TimePoint Now) {
+  if (!Request.Step->LongRunning)
+    return nullptr;
+
+  VmState *Best = nullptr;
+  for (VmState *Vm : Vms) {
+    if (!Vm->Worker)
+      continue;
+    Resources Later = Vm->free();
+    for (const auto &[Task, Run] : Vm->Assigned)
+      if (!Run.LongRunning || Run.Stopping)
+        Later = Later + Run.Held;
+    if (!admits(*Vm, Request, Later, Now))
+      continue;
+    if (!Best || Vm->free().Cpu > Best->free().Cpu)
+      Best = Vm;
+  }
+
+  return Best;
+}
+
 Preemption choosePreemption(std::vector<VmState *> &Vms,
                             const VmRequest &Request, int Priority,
                             const std::map<VmId, Resources> &Claimed,
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -182,6 +182,55 @@
   REQUIRE(Vms.runsOf("urgent") == 1);
 }
 
+// Load pattern: short urgent tasks queue up on a full fleet while the task of a
+// service has ended. Guards against a service that waits behind each new short
+// task of its class, as it is older and larger.
+TEST_CASE("the task of a service starts again before short tasks") {
+  Fleet Vms(1);
+  Vms.Jobs.addJob(service("s", 1, 6000, "x"), Millis(0), Vms.Now);
+  Vms.decide();
+  Vms.run();
+  Vms.Now += Millis(20000);
+  Vms.report();
+  Vms.Jobs.addJob(job("short", 20, 1500), Millis(0), Vms.Now);
+  Vms.decide();
+  REQUIRE(Vms.runsOf("short") == 1);
+  Vms.end("vm0", {JobId("s"), 0, 0, 0}, 1, runner::EndCause::Stopped);
+  Vms.decide();
+  REQUIRE(Vms.runsOf("s") == 1);
+}
+
+// Load pattern: as above, with the room in pieces that each fit a short task.
+// Guards against pieces that are filled again before they fit the service.
+TEST_CASE("room is kept for the task of a service") {
+  Fleet Vms(1, 6000);
+  Vms.Jobs.addJob(job("short", 40, 1500), Millis(0), Vms.Now);
+  Vms.decide();
+  Vms.run();
+  REQUIRE(Vms.runsOf("short") == 4);
+  Vms.Jobs.addJob(service("s", 1, 4500, "x"), Millis(0), Vms.Now);
+  for (std::uint32_t N = 0; N < 3; ++N) {
+    REQUIRE(Vms.runsOf("s") == 0);
+    Vms.end("vm0", {JobId("short"), 0, 0, N}, 1, runner::EndCause::Done);
+    Vms.decide();
+  }
+  REQUIRE(Vms.runsOf("s") == 1);
+  REQUIRE(Vms.runsOf("short") == 1);
+}
+
+// Guards against room that is kept for a service that cannot fit before another
+// service ends.
+TEST_CASE("no room is kept where a service cannot fit") {
+  Fleet Vms(1);
+  Vms.Jobs.addJob(service("s", 1, 6000, "x"), Millis(0), Vms.Now);
+  Vms.decide();
+  Vms.Jobs.addJob(service("t", 1, 6000, "x"), Millis(0), Vms.Now);
+  Vms.Jobs.addJob(job("short", 1, 1500), Millis(0), Vms.Now);
+  Vms.decide();
+  REQUIRE(Vms.runsOf("t") == 0);
+  REQUIRE(Vms.runsOf("short") == 1);
+}
+
 // Load pattern: services that reserve the fleet, and batch that fills. Guards
 // against services of all images on every VM.
 TEST_CASE("services are grouped by image, half to a VM at most") {
