--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -258,7 +258,10 @@
       Ordered.emplace_back(Key{Job->Record.Policy.Priority, !isService(*Job),
                                lateness(*Job, Now), Job->WorkLeft},
                            Job);
-  std::sort(Ordered.begin(), Ordered.end());
+  // Ties stay in the order of ids, so that a day can be played again.
+  std::stable_sort(
+      Ordered.begin(), Ordered.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
   std::vector<JobProgress *> Result;
   Result.reserve(Ordered.size());
   for (auto &Each : Ordered)
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -101,11 +101,21 @@
       });
       return;
     }
-    Loop.after(Delay, [A = Alive, Act, Done] {
-      Outcome Result = Act();
-      if (*A)
-        Done(Result);
-    });
+    // A worker that dies before the order arrives neither acts nor answers.
+    Loop.after(Delay,
+               [this, A = Alive, &W = Worker, Of = Worker.life(), Act, Done] {
+                 bool Arrives = W.up() && W.life() == Of;
+                 if (Arrives) {
+                   Outcome Result = Act();
+                   if (*A)
+                     Done(Result);
+                 } else if (*A) {
+                   Loop.after(NoAnswerAfter, [A, Done] {
+                     if (*A)
+                       Done(runner::NoWorkerAnswer{"silent"});
+                   });
+                 }
+               });
   }
 
   VirtualLoop &Loop;
