Compute the tails on a VM once for each report

Cause: each image that waits asked for the sum over all services of each VM again. Ruled out: fewer reports. Change: a VM's present tails are kept until its runs or figures change; an image adds its own effect to them.

--- a/include/daisyspool/scheduling/TailModel.h
+++ b/include/daisyspool/scheduling/TailModel.h
@@ -32,10 +32,14 @@
   /// Learns from one report: the runs of \p Vm with their present figures.
   void observe(const VmState &Vm, TimePoint Now);
 
-  /// The largest quotient of tail and target expected on \p Vm if a filling
-  /// task of \p Image is added; 0 if nothing serves there.
-  double predict(const VmState &Vm, const workload::ImageId &Image,
-                 TimePoint Now) const;
+  /// What to expect on \p Vm with its present runs, once tasks that have just
+  /// begun show in the figures; an entry for each serving image there.
+  std::vector<ServiceTail> presentTails(const VmState &Vm, TimePoint Now) const;
+
+  /// The largest quotient of tail and target expected if a filling task of \p
+  /// Image joins services with tails \p Present; 0 if nothing serves there.
+  double predict(const std::vector<ServiceTail> &Present,
+                 const workload::ImageId &Image, TimePoint Now) const;
 
   /// Serving images that \p Image is known to leave alone.
   std::vector<workload::ImageId> harmlessTo(const workload::ImageId &Image,
@@ -81,6 +85,11 @@
   bool isRepeated(const VmState &Vm);
   void learn(ServingImage &Service, const std::map<ImageId, double> &Filling,
              double LogExcess, TimePoint Now);
+  double expectedQuotient(const VmState &Vm, const TaskName &Task,
+                          const Assignment &Run,
+                          const std::map<ImageId, double> &Filling,
+                          TimePoint Now) const;
+  const ServingImage *serving(const ImageId &Image) const;
   Effect effect(const ServingImage *Service, const ImageId &Filling,
                 TimePoint Now) const;
   std::optional<double> baseline(const JobId &Job, TimePoint Now) const;
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace daisyspool::scheduling {
 
@@ -51,6 +52,13 @@
   TimePoint Since{};
 };
 
+/// The largest quotient of tail and target on a VM among the tasks of one
+/// serving image.
+struct ServiceTail {
+  workload::ImageId Image;
+  double Quotient = 0;
+};
+
 /// What the leader knows of one VM, its agent and its worker.
 struct VmState {
   VmId Id;
@@ -81,8 +89,9 @@
   /// Room that is kept, in the present pass, for a service that waits for
   /// short tasks to end.
   Resources Reserved;
-  /// Expected tails by the image of a further filling task, until the runs or
-  /// their figures change.
+  /// The tails to expect with the present runs, and with a further filling task
+  /// by its image; dropped when the runs or their figures change.
+  std::optional<std::vector<ServiceTail>> PresentTails;
   std::map<workload::ImageId, double> ExpectedTails;
   /// Grows with each failed end and halves with each good one.
   double FailureScore = 0;
@@ -91,6 +100,10 @@
 
   Resources free() const { return Worker->Capacity - Held - Reserved; }
 
+  void dropExpectedTails() {
+    PresentTails.reset();
+    ExpectedTails.clear();
+  }
   /// Adds an assignment and what it holds.
   void assign(const TaskName &Task, const Assignment &What);
   /// Removes an assignment and frees what it held.
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -229,7 +229,7 @@
     else if (Run.SentIn != 0 && Number >= Run.SentIn)
       Run.SentIn = 0;
   }
-  Vm.ExpectedTails.clear();
+  Vm.dropExpectedTails();
   Tails.observe(Vm, Now);
   for (const TaskName &Name : Gone)
     requeue(Vm, Name, {}, Reply.LeaseExpired ? "lease_expired" : "new_life");
--- a/src/scheduling/TailModel.cpp
+++ b/src/scheduling/TailModel.cpp
@@ -131,7 +131,8 @@
   if (!Filling.empty())
     LastFilled[Vm.Id] = Now;
   auto Filled = LastFilled.find(Vm.Id);
-  bool Alone = Filled == LastFilled.end() || Now - Filled->second > AfterFilling;
+  bool Alone =
+      Filled == LastFilled.end() || Now - Filled->second > AfterFilling;
   auto Jobs = figures(Vm);
   for (const auto &[Job, Of] : Jobs)
     Reports[Job][Vm.Id] = {Now, Of.Lowest};
@@ -212,29 +213,55 @@
   }
 }
 
-double TailModel::predict(const VmState &Vm, const workload::ImageId &Image,
-                          TimePoint Now) const {
+const TailModel::ServingImage *TailModel::serving(const ImageId &Image) const {
+  auto Known = Services.find(Image);
+  return Known == Services.end() ? nullptr : &Known->second;
+}
+
+double TailModel::expectedQuotient(const VmState &Vm, const TaskName &Task,
+                                   const Assignment &Run,
+                                   const std::map<ImageId, double> &Filling,
+                                   TimePoint Now) const {
+  const ServingImage *Service = serving(Run.Image);
+  double Present = 0;
+  for (const auto &[Image, Share] : Filling)
+    Present += std::max(0.0, effect(Service, Image, Now).Mean) * Share;
+  double Coming = 0;
+  for (const auto &[Other, Beside] : Vm.Assigned)
+    if (Beside.Filling > MilliCores(0) && Now - Beside.Since < FigureDelay)
+      Coming += std::max(0.0, effect(Service, Beside.Image, Now).Mean);
+
+  double Base = baseline(Task.Job, Now)
+                    .value_or(Service ? Service->Usual : quotientOf(Run));
+  return std::max(quotientOf(Run), Base * std::exp(Present)) * std::exp(Coming);
+}
+
+std::vector<ServiceTail> TailModel::presentTails(const VmState &Vm,
+                                                 TimePoint Now) const {
   auto Filling = presence(Vm);
-  double Worst = 0;
+  std::vector<ServiceTail> Result;
   for (const auto &[Task, Run] : Vm.Assigned) {
     if (Run.TailTarget == Millis(0))
       continue;
-    auto Known = Services.find(Run.Image);
-    const ServingImage *Service =
-        Known == Services.end() ? nullptr : &Known->second;
-    // Present figures do not show tasks that have just begun.
-    double Coming = std::max(0.0, effect(Service, Image, Now).Mean);
-    for (const auto &[Other, Beside] : Vm.Assigned)
-      if (Beside.Filling > MilliCores(0) && Now - Beside.Since < FigureDelay)
-        Coming += std::max(0.0, effect(Service, Beside.Image, Now).Mean);
-    double Present = 0;
-    for (const auto &[Other, Share] : Filling)
-      Present += std::max(0.0, effect(Service, Other, Now).Mean) * Share;
-
-    double Base = baseline(Task.Job, Now)
-                      .value_or(Service ? Service->Usual : quotientOf(Run));
-    double Quotient = std::max(quotientOf(Run), Base * std::exp(Present));
-    Worst = std::max(Worst, Quotient * std::exp(Coming));
+    double Quotient = expectedQuotient(Vm, Task, Run, Filling, Now);
+    auto Same = std::find_if(
+        Result.begin(), Result.end(),
+        [&Image = Run.Image](const auto &Each) { return Each.Image == Image; });
+    if (Same == Result.end())
+      Result.push_back({Run.Image, Quotient});
+    else
+      Same->Quotient = std::max(Same->Quotient, Quotient);
+  }
+
+  return Result;
+}
+
+double TailModel::predict(const std::vector<ServiceTail> &Present,
+                          const workload::ImageId &Image, TimePoint Now) const {
+  double Worst = 0;
+  for (const ServiceTail &Each : Present) {
+    double Added = std::max(0.0, effect(serving(Each.Image), Image, Now).Mean);
+    Worst = std::max(Worst, Each.Quotient * std::exp(Added));
   }
 
   return Worst;
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -45,8 +45,12 @@
 /// for the same few images on every VM.
 double expectedTail(VmState &Vm, const VmRequest &Request, TimePoint Now) {
   auto [Known, New] = Vm.ExpectedTails.try_emplace(Request.Step->Image, 0);
-  if (New)
-    Known->second = Request.Tails->predict(Vm, Request.Step->Image, Now);
+  if (New) {
+    if (!Vm.PresentTails)
+      Vm.PresentTails = Request.Tails->presentTails(Vm, Now);
+    Known->second =
+        Request.Tails->predict(*Vm.PresentTails, Request.Step->Image, Now);
+  }
   return Known->second;
 }
 
--- a/src/scheduling/VmState.cpp
+++ b/src/scheduling/VmState.cpp
@@ -4,7 +4,7 @@
 
 void VmState::assign(const TaskName &Task, const Assignment &What) {
   Assigned.emplace(Task, What);
-  ExpectedTails.clear();
+  dropExpectedTails();
   Held = Held + What.Held;
   Filling += What.Filling;
   if (What.TailTarget > Millis(0))
@@ -16,7 +16,7 @@
   if (Found == Assigned.end())
     return;
 
-  ExpectedTails.clear();
+  dropExpectedTails();
   Held = Held - Found->second.Held;
   Filling -= Found->second.Filling;
   if (Found->second.TailTarget > Millis(0))
--- a/tests/scheduling/TailModelTest.cpp
+++ b/tests/scheduling/TailModelTest.cpp
@@ -35,6 +35,11 @@
   return Result;
 }
 
+double predict(const TailModel &Model, const VmState &Vm,
+               const std::string &Image, TimePoint At = Now) {
+  return Model.predict(Model.presentTails(Vm, At), ImageId(Image), At);
+}
+
 /// Shows the model a service alone, then beside a loud and a quiet image.
 void teach(TailModel &Model) {
   for (int I = 0; I < 40; ++I) {
@@ -52,12 +57,12 @@
   TailModel Model;
   teach(Model);
   VmState Vm = vm({serving("s", 40)});
-  REQUIRE(Model.predict(Vm, ImageId("loud"), Now) > 0.8);
-  REQUIRE(Model.predict(Vm, ImageId("quiet"), Now) < 0.5);
+  REQUIRE(predict(Model, Vm, "loud") > 0.8);
+  REQUIRE(predict(Model, Vm, "quiet") < 0.5);
   REQUIRE(Model.harmlessTo(ImageId("quiet"), Now) ==
           std::vector<ImageId>{ImageId("s")});
   REQUIRE(Model.harmlessTo(ImageId("loud"), Now).empty());
-  REQUIRE(Model.predict(vm({}), ImageId("loud"), Now) == 0);
+  REQUIRE(predict(Model, vm({}), "loud") == 0);
 }
 
 // Load pattern: a worker that turns slow, with tails of 50 times the target.
@@ -67,13 +72,14 @@
   teach(Model);
   for (int I = 0; I < 40; ++I)
     Model.observe(vm({serving("s", 5000), filling("quiet")}), Now);
-  REQUIRE(Model.predict(vm({serving("s", 40)}), ImageId("quiet"), Now) < 0.5);
+  REQUIRE(predict(Model, vm({serving("s", 40)}), "quiet") < 0.5);
 }
 
-// Load pattern: a service whose own load moves its tail from 0.25 to 0.65 of the
-// target within 10 s, on all VMs alike, while different batch comes and goes
-// beside its tasks. Guards against swings that are blamed on whatever fills at
-// the time, which kept batch from most of the VMs that it leaves alone.
+// Load pattern: a service whose own load moves its tail from 0.25 to 0.65 of
+// the target within 10 s, on all VMs alike, while different batch comes and
+// goes beside its tasks. Guards against swings that are blamed on whatever
+// fills at the time, which kept batch from most of the VMs that it leaves
+// alone.
 TEST_CASE("a service's own load is not blamed on its neighbours") {
   TailModel Model;
   TimePoint At = Now;
@@ -99,10 +105,10 @@
           std::vector<ImageId>{ImageId("s")});
   REQUIRE(Model.harmlessTo(ImageId("loud"), At).empty());
   VmState Idle = vm({serving("s", 25)});
-  REQUIRE(Model.predict(Idle, ImageId("quiet"), At) < 0.8);
+  REQUIRE(predict(Model, Idle, "quiet", At) < 0.8);
   VmState BusyVm = vm({serving("s", 65)});
-  REQUIRE(Model.predict(BusyVm, ImageId("quiet"), At) < 0.8);
-  REQUIRE(Model.predict(BusyVm, ImageId("loud"), At) > 0.8);
+  REQUIRE(predict(Model, BusyVm, "quiet", At) < 0.8);
+  REQUIRE(predict(Model, BusyVm, "loud", At) > 0.8);
 }
 
 // Guards against a row that the store refuses for its size, which would stop
@@ -127,8 +133,7 @@
   TailModel Next;
   Next.decode(First.encode(Now), Now);
   VmState Vm = vm({serving("s", 40)});
-  REQUIRE(Next.predict(Vm, ImageId("loud"), Now) ==
-          Approx(First.predict(Vm, ImageId("loud"), Now)));
+  REQUIRE(predict(Next, Vm, "loud") == Approx(predict(First, Vm, "loud")));
   REQUIRE(Next.harmlessTo(ImageId("quiet"), Now) ==
           First.harmlessTo(ImageId("quiet"), Now));
   REQUIRE_THROWS_AS(Next.decode("?", Now), ProtocolError);
