Tell callers soon that the store does not answer

Each submission was sent again each 1.3 s; the third attempt outlived the caller (job_undecided after 3.0 s and more), and callers that came during the silence were sent too, so none of them could be refused. Ruled out: refusing what was sent, as it may still be stored. Change: an attempt without an answer is followed by a read; without an answer to that the caller gets 504 after 1.5 s and may ask another entry in time. Once 0.7 s have passed without an answer, a new submission reads before it is sent, and is refused unsent after 0.5 s.

--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -7,6 +7,8 @@
 #include "daisyspool/workload/JobDefinition.h"
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <variant>
 
 namespace daisyspool::intake {
@@ -60,6 +62,11 @@
   struct Submission;
   struct Cancellation;
 
+  bool storeSilent() const;
+  void probe(const std::shared_ptr<Submission> &What);
+  Millis remaining(const Submission &What) const;
+  void leaveUndecided(const Submission &What);
+  void refuse(const Submission &What, const char *Cause);
   void attempt(const std::shared_ptr<Submission> &What);
   void onAttempt(const std::shared_ptr<Submission> &What,
                  const rows::CommitOutcome &Outcome);
@@ -71,6 +78,8 @@
   EventLoop &Loop;
   const Clock &Time;
   rows::RowStore &Store;
+  /// Begin of the first submission since the store last answered one.
+  std::optional<TimePoint> UnansweredSince;
   /// Lets the pauses of unsettled calls end with the intake.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -13,10 +13,16 @@
 /// Pause before a call that the store turned away is repeated.
 constexpr Millis RetryPause{120};
 /// Bound of one call to the store; a slow store takes up to half a second.
-constexpr Millis CallTimeout{1200};
+constexpr Millis CallTimeout{1000};
 /// How long a caller is kept when the store surely did nothing: it can reach
 /// another entry sooner than this one finds its store again.
 constexpr Millis RefusalPatience{500};
+/// How long a caller is kept when the job may be stored: it can ask another
+/// entry, which may reach the store, while half of its usual 3 s are left.
+constexpr Millis UndecidedPatience{1500};
+/// Without an answer for so long the store counts as silent; a slow one takes
+/// half a second.
+constexpr Millis SilenceBound{700};
 /// When a refused caller may come back: about the time in which a store that
 /// turned one machine away takes it again.
 constexpr Millis RefusedRetryAfter{1000};
@@ -54,15 +60,67 @@
   What->Begun = Time.now();
   What->Deadline = What->Begun + Patience;
   What->Done = std::move(Done);
-  attempt(What);
+  if (storeSilent())
+    probe(What);
+  else
+    attempt(What);
+}
+
+bool JobIntake::storeSilent() const {
+  return UnansweredSince && Time.now() - *UnansweredSince > SilenceBound;
+}
+
+/// Load pattern: the store falls silent while callers keep coming. A write that
+/// was sent may be applied later, so its caller cannot be refused; a read
+/// changes nothing, and without an answer to it the caller is sent away at
+/// once.
+void JobIntake::probe(const std::shared_ptr<Submission> &What) {
+  Store.read(exactly(jobRow(What->Id)),
+             std::min(RefusalPatience, remaining(*What)),
+             [this, What](const rows::ReadOutcome &Outcome) {
+               if (std::holds_alternative<rows::RowPage>(Outcome)) {
+                 UnansweredSince.reset();
+                 return attempt(What);
+               }
+               if (What->MayBeStored)
+                 return leaveUndecided(*What);
+               refuse(*What, "store_silent");
+             });
+}
+
+Millis JobIntake::remaining(const Submission &What) const {
+  return std::max(Millis(1), std::chrono::duration_cast<Millis>(What.Deadline -
+                                                                Time.now()));
+}
+
+void JobIntake::leaveUndecided(const Submission &What) {
+  LogEvent(LogLevel::Warning, "job_undecided")
+      .with("job", What.Id)
+      .with("attempts", What.Attempts)
+      .with(
+          "spent_ms",
+          std::chrono::duration_cast<Millis>(Time.now() - What.Begun).count());
+  What.Done(Undecided{});
+}
+
+void JobIntake::refuse(const Submission &What, const char *Cause) {
+  LogEvent(LogLevel::Warning, "job_refused")
+      .with("job", What.Id)
+      .with("cause", Cause)
+      .with(
+          "spent_ms",
+          std::chrono::duration_cast<Millis>(Time.now() - What.Begun).count());
+  What.Done(Refused{RefusedRetryAfter});
 }
 
 void JobIntake::attempt(const std::shared_ptr<Submission> &What) {
   ++What->Attempts;
+  if (!UnansweredSince)
+    UnansweredSince = Time.now();
   rows::RowTransaction Write;
   Write.Conditions.push_back({jobRow(What->Id), rows::RowVersion{}});
   Write.Puts.push_back({jobRow(What->Id), What->Value});
-  Store.commit(Write, CallTimeout,
+  Store.commit(Write, std::min(CallTimeout, remaining(*What)),
                [this, What](const rows::CommitOutcome &Outcome) {
                  onAttempt(What, Outcome);
                });
@@ -75,6 +133,8 @@
                 std::holds_alternative<rows::Conflict>(Outcome);
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
     What->MayBeStored = true;
+  else
+    UnansweredSince.reset();
   TimePoint Now = Time.now();
   auto Spent = std::chrono::duration_cast<Millis>(Now - What->Begun);
   if (Stored) {
@@ -85,20 +145,12 @@
     return What->Done(Accepted{});
   }
 
-  if (!What->MayBeStored && Spent >= RefusalPatience) {
-    LogEvent(LogLevel::Warning, "job_refused")
-        .with("job", What->Id)
-        .with("cause", "store_unavailable")
-        .with("spent_ms", Spent.count());
-    return What->Done(Refused{RefusedRetryAfter});
-  }
-  if (Now + RetryPause >= What->Deadline) {
-    LogEvent(LogLevel::Warning, "job_undecided")
-        .with("job", What->Id)
-        .with("attempts", What->Attempts)
-        .with("spent_ms", Spent.count());
-    return What->Done(Undecided{});
-  }
+  if (!What->MayBeStored && Spent >= RefusalPatience)
+    return refuse(*What, "store_unavailable");
+  if (Spent >= UndecidedPatience || Now + RetryPause >= What->Deadline)
+    return leaveUndecided(*What);
+  if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
+    return probe(What);
   again(What);
 }
 
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -23,6 +23,8 @@
 
   /// Faults, for the test to set.
   bool Down = false;
+  /// Calls arrive nowhere and have no answer.
+  bool Silent = false;
   std::set<std::string> TurnedAway;
   double LostAnswers = 0;
   /// Lost writes are applied some seconds later instead of at once.
@@ -120,6 +122,9 @@
               std::function<void(rows::CommitOutcome)> Done) override {
     Store.Loop.after(Store.Delay, [&S = Store, What, Timeout, A = Alive,
                                    Name = Process, Done] {
+      if (S.Silent)
+        return answer(S, A, Timeout, Done,
+                      rows::CommitOutcome(rows::OutcomeUnknown{"silent"}));
       if (S.refuses(Name))
         return answer(S, A, Millis(1), Done,
                       rows::CommitOutcome(rows::NotDone{"busy"}));
@@ -134,15 +139,18 @@
     });
   }
 
-  void read(const rows::RowRange &What, Millis,
+  void read(const rows::RowRange &What, Millis Timeout,
             std::function<void(rows::ReadOutcome)> Done) override {
-    Store.Loop.after(
-        Store.Delay, [&S = Store, What, A = Alive, Name = Process, Done] {
-          if (S.refuses(Name))
-            return answer(S, A, Millis(1), Done,
-                          rows::ReadOutcome(rows::ReadFailed{"busy"}));
-          answer(S, A, S.Delay, Done, rows::ReadOutcome(S.page(What)));
-        });
+    Store.Loop.after(Store.Delay, [&S = Store, What, Timeout, A = Alive,
+                                   Name = Process, Done] {
+      if (S.Silent)
+        return answer(S, A, Timeout, Done,
+                      rows::ReadOutcome(rows::ReadFailed{"silent"}));
+      if (S.refuses(Name))
+        return answer(S, A, Millis(1), Done,
+                      rows::ReadOutcome(rows::ReadFailed{"busy"}));
+      answer(S, A, S.Delay, Done, rows::ReadOutcome(S.page(What)));
+    });
   }
 
   void follow(const std::string &Table, rows::RowVersion After, Millis Wait,
@@ -167,6 +175,9 @@
     S.Loop.after(S.Delay, [&S, A, Name, Table, After, End, Done] {
       if (!*A)
         return;
+      if (S.Silent)
+        return S.Loop.now() >= End ? Done(rows::ReadFailed{"silent"})
+                                   : poll(S, A, Name, Table, After, End, Done);
       if (S.refuses(Name))
         return Done(rows::ReadFailed{"busy"});
       auto Found = S.changes(Table, After);
--- a/tests/intake/JobIntakeTest.cpp
+++ b/tests/intake/JobIntakeTest.cpp
@@ -17,13 +17,18 @@
   Life Alive = std::make_shared<bool>(true);
   StoreConnection Port{Store, "p", Alive};
   JobIntake Intake{Loop, Loop, Port};
+  /// The answer to the newest submission.
   std::optional<SubmitOutcome> Answer;
+  std::string Newest;
   TimePoint AnsweredAt{};
 
   void submit(const std::string &Id) {
     Answer.reset();
+    Newest = Id;
     Intake.submit(chainJob(Id, 1, 1), Millis(2500),
-                  [this](const SubmitOutcome &Outcome) {
+                  [this, Id](const SubmitOutcome &Outcome) {
+                    if (Id != Newest)
+                      return;
                     Answer = Outcome;
                     AnsweredAt = Loop.now();
                   });
@@ -61,6 +66,71 @@
   REQUIRE_FALSE(Setup.stored("a"));
 }
 
+// Load pattern: the store falls silent for seconds and callers keep coming.
+// Each submission that is sent may still be stored, so its caller can only be
+// told so at the deadline. Guards against callers that are kept like that
+// although an earlier call has shown the silence, and against a refusal that is
+// not true.
+TEST_CASE("while the store is silent new submissions are refused unsent") {
+  Fixture Setup;
+  Setup.Store.Silent = true;
+  Setup.submit("first");
+  Setup.Loop.runFor(Millis(900));
+  REQUIRE_FALSE(Setup.Answer);
+  Setup.submit("second");
+  Setup.Loop.runFor(Millis(700));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Refused>(*Setup.Answer));
+  Setup.Store.Silent = false;
+  Setup.Loop.runFor(Millis(10000));
+  REQUIRE_FALSE(Setup.stored("second"));
+}
+
+// Load pattern: the store falls silent for this entry alone. Guards against a
+// caller that is kept until its deadline, or beyond it, while another entry
+// could serve it.
+TEST_CASE("a caller learns soon that the store does not answer") {
+  Fixture Setup;
+  Setup.Store.Silent = true;
+  TimePoint Begun = Setup.Loop.now();
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(4000));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Undecided>(*Setup.Answer));
+  REQUIRE(Setup.AnsweredAt - Begun <= Millis(1600));
+}
+
+// Guards against refusals that go on after the store has come back, and against
+// a submission that waits although the store is heard again.
+TEST_CASE("a submission that waits for a silent store goes on with it") {
+  Fixture Setup;
+  Setup.Store.Silent = true;
+  Setup.submit("first");
+  Setup.Loop.runFor(Millis(1100));
+  Setup.submit("second");
+  Setup.Store.Silent = false;
+  Setup.Loop.runFor(Millis(500));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+  Setup.submit("third");
+  Setup.Loop.runFor(Millis(100));
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+}
+
+// Load pattern: a store that takes 400 ms for each call. Guards against
+// slowness that is taken for silence.
+TEST_CASE("a slow store is no reason to refuse") {
+  Fixture Setup;
+  Setup.Store.Delay = Millis(200);
+  for (int I = 0; I < 6; ++I) {
+    Setup.submit("job" + std::to_string(I));
+    Setup.Loop.runFor(Millis(150));
+  }
+  Setup.Loop.runFor(Millis(1000));
+  for (int I = 0; I < 6; ++I)
+    REQUIRE(Setup.stored("job" + std::to_string(I)));
+}
+
 // Guards against a refusal of a job whose write is applied seconds later.
 TEST_CASE("a submission without an answer is never refused") {
   Fixture Setup;
