Keep an order until its result is certain, and take none that is old

Ruled out: the learned tails and the order of the schedule, which only choose. Change: a declined start waits for a listing; the leader takes back only what no message on its way can start; the agent takes orders only from the newest sync, on a stamp that is not older than the grant, and starts them within it. The virtual connection ends a hold with the life that received it.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -83,7 +83,8 @@
   void beginLife(WorkerLife Next);
   void expireLease();
   void grant(const SyncRequest &What);
-  void takeStart(const StartOrder &What);
+  bool takesStarts(const SyncRequest &What);
+  void takeStart(const StartOrder &What, TimePoint ValidUntil);
   void takeStop(const RunName &What);
   void attemptStart(const RunName &Name);
   void onStart(const RunName &Name, const StartOutcome &Outcome);
@@ -117,6 +118,8 @@
   Options Config;
   FencingToken Token;
   Epoch Leader;
+  /// The newest sync of the present leader.
+  std::uint64_t NewestSync = 0;
   /// What the worker announced; a new agent process waits for it.
   std::optional<WorkerReport> Worker;
   /// The worker's life as far as it is known, 0 before the first word of it.
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -43,7 +43,9 @@
   CommitNumber Commit;
   /// The sync that carried the order; 0 if it has to be sent.
   std::uint64_t SentIn = 0;
-  bool EverSent = false;
+  /// The newest sync that carried the order; 0 if none did. The agent takes no
+  /// order from an older sync once it has answered a newer one.
+  std::uint64_t NewestOrder = 0;
   bool Stopping = false;
   std::uint64_t StopSentIn = 0;
   std::uint32_t Percent = 0;
--- a/src/runner/AgentOrder.h
+++ b/src/runner/AgentOrder.h
@@ -18,8 +18,11 @@
   StartOrder What;
   bool HasStart = false;
   bool Accepted = false;
+  /// The worker declined the start as the run, or a later one, was there.
+  bool WasThere = false;
   TimePoint AcceptedAt{};
-  TimePoint FirstTry{};
+  /// A start that is not accepted by then is made impossible.
+  TimePoint StartBy{};
   int BusyAnswers = 0;
   /// Starts that may still be carried out.
   int Unanswered = 0;
--- a/src/runner/AgentOrders.cpp
+++ b/src/runner/AgentOrders.cpp
@@ -41,7 +41,7 @@
     refuse(Name, RefusalReason::Late);
 }
 
-void AgentSession::takeStart(const StartOrder &What) {
+void AgentSession::takeStart(const StartOrder &What, TimePoint ValidUntil) {
   Hint &Known = Hints[What.Name];
   Known.Image = What.Image;
   Known.FillsIdleCpu = What.FillsIdleCpu;
@@ -65,7 +65,7 @@
   auto Created = std::make_shared<Order>(Loop);
   Created->What = What;
   Created->HasStart = true;
-  Created->FirstTry = Time.now();
+  Created->StartBy = std::min(Time.now() + StartPatience, ValidUntil);
   Orders.emplace(What.Name, std::move(Created));
   // Before the first listing the run may be there already, started through an
   // earlier agent process.
@@ -95,7 +95,7 @@
     return refuse(Name, RefusalReason::Leaving);
 
   auto LeaseEnd = grantedLease();
-  bool Overdue = Time.now() - Start.FirstTry > StartPatience;
+  bool Overdue = Time.now() > Start.StartBy;
   // A new agent process gets its first grant with the second sync.
   if (!LeaseEnd && !Overdue && !Leaving)
     return retry(Name, OrderPause);
@@ -131,14 +131,14 @@
                           retry(Name, OrderPause);
                         },
                         [&](const StartRefused &Why) {
-                          // A repeated start that finds its own run over is no
-                          // refusal: the worker lists the end.
-                          bool RanAlready = Why.Reason == RefusalReason::Old &&
-                                            Start.Unanswered > 0;
-                          if (RanAlready)
-                            Orders.erase(Name);
-                          else
-                            refuse(Name, Why.Reason);
+                          // A repeated start may find its own run over, so
+                          // the order stays until a listing has shown whether
+                          // the run has ended or was made impossible.
+                          if (Why.Reason != RefusalReason::Old)
+                            return refuse(Name, Why.Reason);
+                          Start.Accepted = true;
+                          Start.WasThere = true;
+                          Start.AcceptedAt = Time.now();
                         },
                         [&](const WorkerBusy &) {
                           if (++Start.BusyAnswers < MaxBusyAnswers)
@@ -237,7 +237,7 @@
 /// it was asked for after the order was accepted.
 void AgentSession::settleOrders(TimePoint SentAt) {
   std::vector<RunName> Settled;
-  std::vector<RunName> NeverThere;
+  std::vector<std::pair<RunName, RefusalReason>> Impossible;
   for (const auto &[Name, Order] : Orders) {
     if (ended(Name)) {
       Settled.push_back(Name);
@@ -247,16 +247,20 @@
       bool Late = Order->StopAccepted &&
                   SentAt > Order->AcceptedAt + Config.StopTimeout;
       if (Late && !listed(Name))
-        NeverThere.push_back(Name);
+        Impossible.emplace_back(Name, RefusalReason::Cancelled);
       continue;
     }
-    if (Order->Accepted && SentAt > Order->AcceptedAt)
+    if (!Order->Accepted || SentAt <= Order->AcceptedAt)
+      continue;
+    if (Order->WasThere && !listed(Name))
+      Impossible.emplace_back(Name, RefusalReason::Old);
+    else
       Settled.push_back(Name);
   }
   for (const RunName &Name : Settled)
     Orders.erase(Name);
-  for (const RunName &Name : NeverThere)
-    refuse(Name, RefusalReason::Cancelled);
+  for (const auto &[Name, Reason] : Impossible)
+    refuse(Name, Reason);
 }
 
 void AgentSession::startWaitingOrders() {
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -24,6 +24,11 @@
       std::chrono::duration_cast<Millis>(When.time_since_epoch()).count());
 }
 
+/// When this agent made the stamp that the leader echoes.
+TimePoint stampOf(const SyncRequest &What) {
+  return TimePoint(Millis(What.EchoedStamp));
+}
+
 } // namespace
 
 AgentSession::AgentSession(EventLoop &Loop, const Clock &Time,
@@ -121,10 +126,14 @@
     LogEvent(LogLevel::Info, "leader_followed")
         .with("epoch", What.Leader)
         .with("before", Leader);
+  if (Leader != What.Leader)
+    NewestSync = 0;
   Leader = What.Leader;
   grant(What);
-  for (const StartOrder &Each : What.Starts)
-    takeStart(Each);
+  if (takesStarts(What))
+    for (const StartOrder &Each : What.Starts)
+      takeStart(Each, stampOf(What) + What.Grant);
+  NewestSync = std::max(NewestSync, What.Number);
   for (const RunName &Each : What.Stops)
     takeStop(Each);
 
@@ -137,11 +146,28 @@
   WaitTimer->start(What.Wait, [this] { answerWaiting(); });
 }
 
+/// A sync that was delayed may carry orders that the leader has given up, as it
+/// had no word of this VM for a whole grant, or as a newer answer did not name
+/// them.
+bool AgentSession::takesStarts(const SyncRequest &What) {
+  bool Current = What.StampedBy == Config.Incarnation &&
+                 Time.now() <= stampOf(What) + What.Grant &&
+                 What.Number > NewestSync;
+  if (!Current && !What.Starts.empty())
+    LogEvent(LogLevel::Info, "starts_ignored")
+        .with("sync", static_cast<std::int64_t>(What.Number))
+        .with("newest", static_cast<std::int64_t>(NewestSync))
+        .with("starts", static_cast<std::int64_t>(What.Starts.size()))
+        .with("stamp_age_ms",
+              std::chrono::duration_cast<Millis>(Time.now() - stampOf(What))
+                  .count());
+  return Current;
+}
+
 void AgentSession::grant(const SyncRequest &What) {
   if (What.StampedBy == Config.Incarnation && What.EchoedStamp != 0) {
-    TimePoint Stamp{Millis(What.EchoedStamp)};
-    GrantEnd =
-        std::max(GrantEnd, Stamp + std::min(What.Grant, Config.MaxLease));
+    GrantEnd = std::max(GrantEnd,
+                        stampOf(What) + std::min(What.Grant, Config.MaxLease));
   }
   if (What.EndsOf == Life && What.EndsRecorded > EndsRecorded) {
     EndsRecorded = What.EndsRecorded;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -84,7 +84,7 @@
     Run.Commit = RestoredCommit;
     // The first answer of the agent tells whether it has the order.
     Run.SentIn = 1;
-    Run.EverSent = true;
+    Run.NewestOrder = 1;
     Run.Stopping = isFinal(Job.Status);
   }
   if (isFinal(Job.Status))
@@ -152,7 +152,7 @@
       .with("run", Found->second.Run)
       .with("vm", Vm.Id)
       .with("cause", Cause);
-  if (!Found->second.EverSent) {
+  if (Found->second.NewestOrder == 0) {
     requeue(Vm, Name, {}, Cause);
     return;
   }
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -203,11 +203,13 @@
     Run->second.ListedIn = Vm.Replies;
     return &Run->second;
   };
-  for (const runner::RunningTask &Task : Reply.Running)
-    if (Assignment *Run = Listed(Task.Name)) {
-      Run->Percent = Task.Percent;
-      Run->Load = Task.Load;
-    }
+  // Runs that were listed before the lease expired are over.
+  if (!Reply.LeaseExpired)
+    for (const runner::RunningTask &Task : Reply.Running)
+      if (Assignment *Run = Listed(Task.Name)) {
+        Run->Percent = Task.Percent;
+        Run->Load = Task.Load;
+      }
   for (const runner::RunName &Name : Reply.Starting)
     Listed(Name);
 }
@@ -217,14 +219,11 @@
   noteListed(Vm, Reply);
   std::vector<TaskName> Gone;
   for (auto &[Name, Run] : Vm.Assigned) {
-    if (Reply.LeaseExpired) {
-      Gone.push_back(Name);
-      continue;
-    }
-    if (Run.ListedIn == Vm.Replies)
+    // An order that is on its way to the agent may still be carried out.
+    if (Run.ListedIn == Vm.Replies || Number < Run.NewestOrder)
       continue;
     bool OtherLife = Reply.Worker && Reply.Worker->Life != Run.Life;
-    if (OtherLife)
+    if (Reply.LeaseExpired || OtherLife)
       Gone.push_back(Name);
     else if (Run.SentIn != 0 && Number >= Run.SentIn)
       Run.SentIn = 0;
@@ -316,7 +315,7 @@
       continue;
     const auto &Step = Found->second.definition(Name);
     Run.SentIn = What.Number;
-    Run.EverSent = true;
+    Run.NewestOrder = What.Number;
     What.Starts.push_back({{Name, Run.Run},
                            Run.Life,
                            Found->second.Record.Definition.Spec,
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -255,6 +255,31 @@
   requireSound(Fleet);
 }
 
+// Load pattern: short tasks on a worker that loses its answers. Guards against
+// a task that runs again after its end (hunt of 2026-12-04, voicematch-spool
+// scale-1, seed 829989956536: TWICE): the start had no answer, its repetition
+// was declined as the run was over, and the order was dropped before a listing
+// showed the end; the leader sent it again and took the refusal of that for a
+// run that had never been there.
+TEST_CASE("a run that ended before its start was answered runs once") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    INFO("seed " << Seed);
+    VirtualFleet Fleet(Seed, 2, 3);
+    Fleet.Loop.runFor(Millis(3000));
+    for (auto &Worker : Fleet.Workers)
+      Worker->LostAnswers = 0.6;
+    for (std::size_t I = 0; I < 12; ++I) {
+      Fleet.submit(I % 2, chainJob("job" + std::to_string(I), 2, 4),
+                   Millis(200));
+      Fleet.Loop.runFor(Millis(250));
+    }
+    for (auto &Worker : Fleet.Workers)
+      Worker->LostAnswers = 0;
+    REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(20)));
+    requireSound(Fleet);
+  }
+}
+
 namespace {
 
 /// One fault of a random day.
@@ -269,7 +294,7 @@
     if (!Fleet.Entries[I])
       Fleet.startEntry(I);
   };
-  switch (Pick(11)) {
+  switch (Pick(12)) {
   case 0:
     Entry = std::min(Fleet.leader(), Fleet.Entries.size() - 1);
     [[fallthrough]];
@@ -317,6 +342,11 @@
                      [&Fleet, Name] { Fleet.Store.TurnedAway.erase(Name); });
     break;
   }
+  case 10:
+    Fleet.Workers[Vm]->LostAnswers = 0.3;
+    Fleet.Loop.after(Span,
+                     [&Fleet, Vm] { Fleet.Workers[Vm]->LostAnswers = 0; });
+    break;
   default:
     Fleet.Workers[Vm]->Hangs = true;
     Fleet.Loop.after(Span, [&Fleet, Vm] { Fleet.Workers[Vm]->Hangs = false; });
--- a/tests/fleet/Oracle.h
+++ b/tests/fleet/Oracle.h
@@ -57,6 +57,7 @@
     if (!Sum.fitsIn(Capacity))
       violation("over the worker's room", Name, Worker);
     ++Starts;
+    StartedJobs.insert(Name.Task.Job);
   }
 
   void ended(const std::string &, const runner::RunName &Name,
@@ -87,6 +88,7 @@
   }
   std::size_t runningCount() const { return Running.size(); }
 
+  std::set<JobId> StartedJobs;
   std::size_t Starts = 0;
   std::size_t Lapses = 0;
 
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -47,8 +47,8 @@
             std::function<void(runner::HoldOutcome)> Done) override {
     // Waits in steps of 20 ms for an end.
     auto Before = std::make_shared<std::size_t>(Worker.endCount());
-    waitForEnd(Loop, Worker, Alive, Token, What, Before, Loop.now() + What.Wait,
-               Done);
+    waitForEnd(Loop, Worker, Alive, Token, What, Before, Worker.life(),
+               Loop.now() + What.Wait, Done);
   }
 
 private:
@@ -59,9 +59,10 @@
                          const Life &Alive, runner::FencingToken Token,
                          const runner::HoldRequest &What,
                          const std::shared_ptr<std::size_t> &Before,
-                         TimePoint End,
+                         runner::WorkerLife Of, TimePoint End,
                          const std::function<void(runner::HoldOutcome)> &Done) {
-    if (!Worker.up()) {
+    // A call dies with the life that received it.
+    if (!Worker.up() || Worker.life() != Of) {
       Loop.after(What.Wait + NoAnswerAfter, [Alive, Done] {
         if (*Alive)
           Done(runner::NoWorkerAnswer{"dark"});
@@ -71,11 +72,18 @@
     auto First = Worker.hold(Token, What);
     bool Ready = Loop.now() >= End || Worker.endCount() != *Before ||
                  std::holds_alternative<runner::FencedOut>(First);
+    if (Ready && Worker.losesAnswer()) {
+      Loop.after(NoAnswerAfter, [Alive, Done] {
+        if (*Alive)
+          Done(runner::NoWorkerAnswer{"lost"});
+      });
+      return;
+    }
     if (!Ready) {
-      Loop.after(
-          Millis(20), [&Loop, &Worker, Alive, Token, What, Before, End, Done] {
-            waitForEnd(Loop, Worker, Alive, Token, What, Before, End, Done);
-          });
+      Loop.after(Millis(20), [&Loop, &Worker, Alive, Token, What, Before, Of,
+                              End, Done] {
+        waitForEnd(Loop, Worker, Alive, Token, What, Before, Of, End, Done);
+      });
       return;
     }
     Loop.after(Delay, [Alive, Done, First] {
@@ -105,10 +113,11 @@
     Loop.after(Delay,
                [this, A = Alive, &W = Worker, Of = Worker.life(), Act, Done] {
                  bool Arrives = W.up() && W.life() == Of;
-                 if (Arrives) {
-                   Outcome Result = Act();
-                   if (*A)
-                     Done(Result);
+                 std::optional<Outcome> Result;
+                 if (Arrives)
+                   Result = Act();
+                 if (*A && Result && !W.losesAnswer()) {
+                   Done(*Result);
                  } else if (*A) {
                    Loop.after(NoAnswerAfter, [A, Done] {
                      if (*A)
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -30,6 +30,8 @@
   bool FailsAll = false;
   bool Draining = false;
   double Unanswered = 0;
+  /// Share of calls that are carried out at once and have no answer.
+  double LostAnswers = 0;
   bool KeepsId = false;
 
   runner::WorkerLife life() const { return Born; }
@@ -125,6 +127,17 @@
     return Result;
   }
 
+  /// Two in a hundred slow, as the platform allows.
+  runner::WorkerClock clock() const {
+    auto Real = std::chrono::duration_cast<Millis>(Loop.now() - ClockStart);
+    return runner::WorkerClock(Real.count() * 98 / 100 + 1000);
+  }
+
+  bool losesAnswer() {
+    return LostAnswers > 0 &&
+           std::uniform_real_distribution<double>(0, 1)(Chance) < LostAnswers;
+  }
+
   std::size_t endCount() const { return Ended.size() + LastEnd; }
 
 private:
@@ -147,12 +160,6 @@
     Closed.clear();
   }
 
-  /// Two in a hundred slow, as the platform allows.
-  runner::WorkerClock clock() const {
-    auto Real = std::chrono::duration_cast<Millis>(Loop.now() - ClockStart);
-    return runner::WorkerClock(Real.count() * 98 / 100 + 1000);
-  }
-
   void extend(runner::WorkerClock End) {
     constexpr runner::WorkerClock MaxHold{6000};
     LeaseEnd = std::max(LeaseEnd, std::min(End, clock() + MaxHold));
@@ -217,6 +224,7 @@
   std::string Name;
   Resources Capacity;
   runner::WorkerLife Born;
+  std::mt19937_64 Chance{1};
   std::uint64_t LifeNumber = 0;
   TimePoint ClockStart{};
   std::uint64_t LastEnd = 0;
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -285,6 +285,27 @@
   REQUIRE(Vms.runsOf("a") == 0);
 }
 
+// Guards against a task that runs twice: the order is on its way while an older
+// answer says that the worker's lease has expired.
+TEST_CASE("an order on its way outlasts an older answer") {
+  Fleet Vms(1);
+  Vms.Jobs.addJob(job("a", 1, 1000), Millis(0), Vms.Now);
+  Vms.decide();
+  auto Sync = Vms.Jobs.nextSync(VmId("vm0"), Epoch(1), Vms.Now);
+  REQUIRE(Sync.Starts.size() == 1);
+  auto &Report = Vms.Reports[VmId("vm0")];
+  Report.LeaseExpired = true;
+  Vms.Jobs.noteReply(VmId("vm0"), Sync.Number - 1, Report, Vms.Now);
+  REQUIRE(Vms.runsOf("a") == 1);
+  // The agent has taken the order and may still start it.
+  Report.Starting = {Sync.Starts[0].Name};
+  Vms.Jobs.noteReply(VmId("vm0"), Sync.Number, Report, Vms.Now);
+  REQUIRE(Vms.runsOf("a") == 1);
+  Report.Starting.clear();
+  Vms.Jobs.noteReply(VmId("vm0"), Sync.Number, Report, Vms.Now);
+  REQUIRE(Vms.runsOf("a") == 0);
+}
+
 // Guards against a failed task that goes back to the worker that failed it.
 TEST_CASE("a failed task is tried on another VM") {
   Fleet Vms(2);
