Bound a grant by the agent's last answer

Cause: each sync that was sent put the end of the grant off by 4 s, also to an agent that never answers, so the runs on a VM cut off from the leader were kept until it came back. Ruled out: a shorter grant. Change: the agent grants no longer than its stamp allows, which it made before its last answer; the bound counts from that. The test fails without the change.

--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -294,10 +294,11 @@
   What.EndsRecorded = Vm.EndsRecorded;
   What.RefusalsSeen = Vm.RefusalsApplied;
   What.Wait = Config.SyncWait;
-  // The stamp was made before now, so what the agent grants ends before this.
+  // The stamp was made before the last reply, so what the agent grants ends
+  // before this, however long it goes on without an answer.
   if (Vm.NewestStamp != 0)
-    Vm.GrantBound =
-        std::max(Vm.GrantBound, Now + Config.Grant + Config.GrantMargin);
+    Vm.GrantBound = std::max(Vm.GrantBound,
+                             Vm.LastReply + Config.Grant + Config.GrantMargin);
 
   for (auto &[Name, Run] : Vm.Assigned) {
     if (Run.Stopping) {
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -285,6 +285,23 @@
   REQUIRE(Vms.runsOf("a") == 0);
 }
 
+// Load pattern: VMs are cut off from the leader while their agents live. Guards
+// against runs that are never taken back, as each message that is sent in vain
+// put their loss off again.
+TEST_CASE("messages without an answer do not prolong a grant") {
+  Fleet Vms(1);
+  Vms.Jobs.addJob(job("a", 1, 1000), Millis(0), Vms.Now);
+  Vms.decide();
+  Vms.run();
+  for (int I = 0; I < 5; ++I) {
+    Vms.Now += Millis(1000);
+    auto Sync = Vms.Jobs.nextSync(VmId("vm0"), Epoch(1), Vms.Now);
+    Vms.Jobs.noteSyncFailed(VmId("vm0"), Sync.Number);
+    Vms.decide();
+  }
+  REQUIRE(Vms.runsOf("a") == 0);
+}
+
 // Guards against a task that runs twice: the order is on its way while an older
 // answer says that the worker's lease has expired.
 TEST_CASE("an order on its way outlasts an older answer") {
