Stop harmless batch last beside a strained service

Ruled out: steering the pace by more than the worst tail that a task may disturb. Change: after 1.5 s the tasks stop that may disturb the service, after 2.5 s all; a service counts as harmed after 4 s.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -102,6 +102,8 @@
   void watchProgress(TimePoint Now);
   double worstTailBeside(const Hint &Filling) const;
   void paceFilling(TimePoint Now);
+  /// The share for a filling task beside services with the worst tail \p Tail.
+  std::uint32_t percentBeside(double Tail) const;
   void paceNew(const RunName &Name);
   void pace(const RunName &Name, std::uint32_t Percent, double Tail);
   bool listed(const RunName &Name) const;
--- a/include/daisyspool/runner/FillPacer.h
+++ b/include/daisyspool/runner/FillPacer.h
@@ -47,29 +47,34 @@
   TimePoint LastChange{};
 };
 
-/// Tells when a service has been beyond its target for so long that all
-/// filling tasks beside it must stop.
+/// Tells when a service has been beyond its target for so long that filling
+/// tasks beside it must stop: first those that may disturb it, then all.
 ///
-/// Load pattern: a steady crowd of filling tasks that each do little harm, or a
-/// pair of images that was taken for harmless.
+/// Load pattern: a steady crowd of filling tasks that each do little harm,
+/// beside others that do none; and a pair of images that was wrongly taken for
+/// harmless.
 ///
 /// Thread safety: one thread at a time.
 class TailOverrun {
 public:
-  /// \p WorstTail as in FillPacer::update(). Returns over().
-  bool update(double WorstTail, TimePoint Now);
+  enum class Stop : std::uint8_t { None, Suspects, All };
 
-  /// Whether filling tasks must stand still.
-  bool over() const { return Over; }
+  /// \p WorstTail as in FillPacer::update(). Returns level().
+  Stop update(double WorstTail, TimePoint Now);
+
+  /// Which filling tasks must stand still.
+  Stop level() const { return Level; }
 
 private:
   /// A service counts as harmed after 4 s beyond its target; figure, listing
   /// and effect lag by more than a second.
   static constexpr Millis MaxOver{1500};
+  /// Leaves a listing, a figure and the effect of the stop their time.
+  static constexpr Millis MaxOverBesideSuspects{2500};
   /// The tail has to fall well below the target before they go on.
   static constexpr double EndsBelow = 0.85;
 
-  bool Over = false;
+  Stop Level = Stop::None;
   std::optional<TimePoint> Since;
 };
 
--- a/src/runner/AgentPacing.cpp
+++ b/src/runner/AgentPacing.cpp
@@ -60,14 +60,21 @@
     Filling.emplace_back(Task.Name, worstTailBeside(Known->second));
     Worst = std::max(Worst, Filling.back().second);
   }
-  // Beyond the bound what is known of harmless pairs is not relied on.
-  bool StopAll = !Filling.empty() && Overrun.update(WorstOfAll, Now);
-  std::uint32_t Percent = Pacer.update(Worst, Now);
-  for (const auto &[Name, Tail] : Filling) {
-    // A task beside services that are well off needs no slowing down.
-    bool Free = Tail < FillPacer::SpeedUpBelow;
-    pace(Name, StopAll ? 0 : Free ? 100 : Percent, StopAll ? WorstOfAll : Tail);
-  }
+  if (!Filling.empty())
+    Overrun.update(WorstOfAll, Now);
+  Pacer.update(Worst, Now);
+  for (const auto &[Name, Tail] : Filling)
+    pace(Name, percentBeside(Tail), Tail);
+}
+
+std::uint32_t AgentSession::percentBeside(double Tail) const {
+  // Beyond the last bound what is known of harmless pairs is not relied on.
+  if (Overrun.level() == TailOverrun::Stop::All)
+    return 0;
+  // A task beside services that are well off needs no slowing down.
+  if (Tail < FillPacer::SpeedUpBelow)
+    return 100;
+  return Overrun.level() == TailOverrun::Stop::Suspects ? 0 : Pacer.percent();
 }
 
 /// Load pattern: short filling tasks that follow each other; each would work at
@@ -77,10 +84,7 @@
   if (Known == Hints.end() || !Known->second.FillsIdleCpu)
     return;
   double Tail = worstTailBeside(Known->second);
-  if (Overrun.over())
-    pace(Name, 0, Tail);
-  else if (Tail >= FillPacer::SpeedUpBelow)
-    pace(Name, Pacer.percent(), Tail);
+  pace(Name, percentBeside(Tail), Tail);
 }
 
 void AgentSession::pace(const RunName &Name, std::uint32_t Percent,
--- a/src/runner/FillPacer.cpp
+++ b/src/runner/FillPacer.cpp
@@ -27,16 +27,18 @@
   return Percent;
 }
 
-bool TailOverrun::update(double WorstTail, TimePoint Now) {
+TailOverrun::Stop TailOverrun::update(double WorstTail, TimePoint Now) {
   if (WorstTail <= 1)
     Since.reset();
   else if (!Since)
     Since = Now;
-  if (Since && Now - *Since > MaxOver)
-    Over = true;
+  if (Since && Now - *Since > MaxOverBesideSuspects)
+    Level = Stop::All;
+  else if (Since && Now - *Since > MaxOver)
+    Level = std::max(Level, Stop::Suspects);
   else if (WorstTail < EndsBelow)
-    Over = false;
-  return Over;
+    Level = Stop::None;
+  return Level;
 }
 
 } // namespace daisyspool::runner
