Add a fault soak of real processes

Ruled out: a second model of store and worker; those of tests/fleet run in real time behind HTTP, with the same oracle. The link stand-in can swallow answers one way and reset connections.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 SECONDS ?= 60
 JOBS ?= $(shell nproc)
 
-.PHONY: demo test bench fuzz fuzz-mutants capacity build setup format lint
+FIRST ?= 1
+LAST ?= 50
+
+.PHONY: demo test bench fuzz fuzz-mutants capacity build setup format lint soak soak-cases
 
 setup:
 	@bash scripts/setup.sh
@@ -30,6 +33,12 @@
 fuzz: build
 	@bash scripts/fuzz.sh $(BUILD) "$(SEED)" "$(SECONDS)"
 
+soak: build
+	@bash scripts/soak.sh $(BUILD) $(FIRST) $(LAST)
+
+soak-cases: build
+	@bash scripts/soak.sh $(BUILD) cases
+
 fuzz-mutants: build
 	@bash scripts/fuzz-mutants.sh $(BUILD)
 
--- a/standins/LinkRoute.h
+++ b/standins/LinkRoute.h
@@ -101,6 +101,20 @@
     return Count;
   }
 
+  /// Swallows the answers on all open connections for good.
+  void dropAnswers() {
+    for (const auto &Each : Pipes)
+      if (auto Open = Each.lock())
+        Open->dropAnswers();
+  }
+
+  /// Closes all open connections.
+  void reset() {
+    for (const auto &Each : Pipes)
+      if (auto Open = Each.lock())
+        Open->close();
+  }
+
 private:
   using Tcp = boost::asio::ip::tcp;
   using Udp = boost::asio::ip::udp;
--- a/standins/TcpPipe.h
+++ b/standins/TcpPipe.h
@@ -51,6 +51,9 @@
 
   void goSilent() { Silent = true; }
 
+  /// What the server sends is swallowed from now on; requests still arrive.
+  void dropAnswers() { Backward.swallow(); }
+
   /// Closes both ends, unless the pipe is silent: then neither end is told
   /// about the failure of the other.
   void close() {
@@ -94,7 +97,7 @@
             if (Failure && Failure != boost::asio::error::eof)
               return Owner.close();
             Ended = Failure == boost::asio::error::eof;
-            if (!Owner.Silent)
+            if (!Owner.Silent && !Swallows)
               enqueue(std::string(Buffer.data(), Ended ? 0 : Length));
             read();
           });
@@ -102,6 +105,7 @@
 
     bool finished() const { return Finished; }
     void cancel() { Timer.cancel(); }
+    void swallow() { Swallows = true; }
 
   private:
     void enqueue(std::string Bytes) {
@@ -164,6 +168,7 @@
     std::array<char, PieceBytes> Buffer{};
     std::deque<Piece> Pieces;
     std::size_t Queued = 0;
+    bool Swallows = false;
     bool Reading = false;
     bool Ended = false;
     bool Finished = false;
