--- a/soak/SoakDay.h
+++ b/soak/SoakDay.h
@@ -303,8 +303,7 @@
       break;
     case 8:
       during(
-          Span, [&] { cut(Route, true); },
-          [this, &Route] { cut(Route, false); });
+          Span, [&] { cut(Route, true); }, [&Route] { cut(Route, false); });
       break;
     case 9:
       Route.dropAnswers();
