Let the bounds for the store's answers follow its pace

Ruled out: longer fixed bounds, which keep callers of a silent store. Change: the bounds grow to 2.5 times what the store last took for an answer. The virtual store now lets a caller's time-out pass; the test fails without the change.

--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -62,6 +62,8 @@
   struct Submission;
   struct Cancellation;
 
+  /// A bound of at least \p Least that lets a slow store answer.
+  Millis patience(Millis Least) const;
   bool storeSilent() const;
   void probe(const std::shared_ptr<Submission> &What);
   Millis remaining(const Submission &What) const;
@@ -80,6 +82,7 @@
   rows::RowStore &Store;
   /// Begin of the first submission since the store last answered one.
   std::optional<TimePoint> UnansweredSince;
+  Millis LastAnswerTook{0};
   /// Lets the pauses of unsettled calls end with the intake.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/soak/SoakDay.h
+++ b/soak/SoakDay.h
@@ -75,7 +75,7 @@
   struct Caller {
     JobId Job;
     std::string Body;
-    int Attempts = 0;
+    int AttemptsLeft = 0;
     bool Accepted = false;
     bool CancelSent = false;
     /// An attempt had no final answer, so the job may run.
@@ -207,13 +207,17 @@
         Step["after"] = {I - 1};
       Body["steps"].push_back(std::move(Step));
     }
-    Callers.push_back(std::make_unique<Caller>(Caller{JobId(Id), Body.dump()}));
+    // Half of the callers take the first answer, so that a refusal of a job
+    // that is stored all the same comes to light.
+    int Attempts = draw(2) == 0 ? 1 : MaxAttempts;
+    Callers.push_back(
+        std::make_unique<Caller>(Caller{JobId(Id), Body.dump(), Attempts}));
     submit(*Callers.back());
     Loop.after(Millis(50 + draw(350)), [this, Number] { traffic(Number + 1); });
   }
 
   void submit(Caller &Of) {
-    if (++Of.Attempts > MaxAttempts)
+    if (--Of.AttemptsLeft < 0)
       return;
     Ingress[draw(Ingress.size())]->send(
         request("POST", Of.Job, Of.Body), Millis(3000),
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -23,6 +23,9 @@
 /// Without an answer for so long the store counts as silent; a slow one takes
 /// half a second.
 constexpr Millis SilenceBound{700};
+/// The bounds above grow to this many halves of the time that the store last
+/// took for an answer, as calls queue behind each other in a slow store.
+constexpr int PatienceHalves = 5;
 /// When a refused caller may come back: about the time in which a store that
 /// turned one machine away takes it again.
 constexpr Millis RefusedRetryAfter{1000};
@@ -38,6 +41,7 @@
   std::string Value;
   TimePoint Begun{};
   TimePoint Deadline{};
+  TimePoint AttemptBegun{};
   /// An attempt had no answer, so the job may be stored at any time.
   bool MayBeStored = false;
   int Attempts = 0;
@@ -66,8 +70,13 @@
     attempt(What);
 }
 
+Millis JobIntake::patience(Millis Least) const {
+  return std::max(Least, LastAnswerTook * PatienceHalves / 2);
+}
+
 bool JobIntake::storeSilent() const {
-  return UnansweredSince && Time.now() - *UnansweredSince > SilenceBound;
+  return UnansweredSince &&
+         Time.now() - *UnansweredSince > patience(SilenceBound);
 }
 
 /// Load pattern: the store falls silent while callers keep coming. A write that
@@ -76,7 +85,7 @@
 /// once.
 void JobIntake::probe(const std::shared_ptr<Submission> &What) {
   Store.read(exactly(jobRow(What->Id)),
-             std::min(RefusalPatience, remaining(*What)),
+             std::min(patience(RefusalPatience), remaining(*What)),
              [this, What](const rows::ReadOutcome &Outcome) {
                if (std::holds_alternative<rows::RowPage>(Outcome)) {
                  UnansweredSince.reset();
@@ -115,12 +124,13 @@
 
 void JobIntake::attempt(const std::shared_ptr<Submission> &What) {
   ++What->Attempts;
+  What->AttemptBegun = Time.now();
   if (!UnansweredSince)
-    UnansweredSince = Time.now();
+    UnansweredSince = What->AttemptBegun;
   rows::RowTransaction Write;
   Write.Conditions.push_back({jobRow(What->Id), rows::RowVersion{}});
   Write.Puts.push_back({jobRow(What->Id), What->Value});
-  Store.commit(Write, std::min(CallTimeout, remaining(*What)),
+  Store.commit(Write, std::min(patience(CallTimeout), remaining(*What)),
                [this, What](const rows::CommitOutcome &Outcome) {
                  onAttempt(What, Outcome);
                });
@@ -133,9 +143,12 @@
                 std::holds_alternative<rows::Conflict>(Outcome);
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
     What->MayBeStored = true;
-  else
-    UnansweredSince.reset();
   TimePoint Now = Time.now();
+  if (!std::holds_alternative<rows::OutcomeUnknown>(Outcome)) {
+    UnansweredSince.reset();
+    LastAnswerTook =
+        std::chrono::duration_cast<Millis>(Now - What->AttemptBegun);
+  }
   auto Spent = std::chrono::duration_cast<Millis>(Now - What->Begun);
   if (Stored) {
     LogEvent(LogLevel::Info, "job_accepted")
@@ -147,7 +160,8 @@
 
   if (!What->MayBeStored && Spent >= RefusalPatience)
     return refuse(*What, "store_unavailable");
-  if (Spent >= UndecidedPatience || Now + RetryPause >= What->Deadline)
+  if (Spent >= patience(UndecidedPatience) ||
+      Now + RetryPause >= What->Deadline)
     return leaveUndecided(*What);
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
     return probe(What);
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -6,6 +6,7 @@
 #include "daisyspool/rows/RowStore.h"
 #include "fleet/VirtualLoop.h"
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -128,7 +129,14 @@
       if (S.refuses(Name))
         return answer(S, A, Millis(1), Done,
                       rows::CommitOutcome(rows::NotDone{"busy"}));
-      if (!S.chance(S.LostAnswers))
+      bool Lost = S.chance(S.LostAnswers);
+      // A caller that stops waiting does not undo what it asked for.
+      if (!Lost && 2 * S.Delay > Timeout) {
+        S.apply(What);
+        return answer(S, A, std::max(Timeout - S.Delay, Millis(0)), Done,
+                      rows::CommitOutcome(rows::OutcomeUnknown{"timeout"}));
+      }
+      if (!Lost)
         return answer(S, A, S.Delay, Done, S.apply(What));
       if (S.LostAreLate)
         S.Loop.after(Millis(2500), [&S, What] { S.apply(What); });
@@ -149,6 +157,9 @@
       if (S.refuses(Name))
         return answer(S, A, Millis(1), Done,
                       rows::ReadOutcome(rows::ReadFailed{"busy"}));
+      if (2 * S.Delay > Timeout)
+        return answer(S, A, std::max(Timeout - S.Delay, Millis(0)), Done,
+                      rows::ReadOutcome(rows::ReadFailed{"timeout"}));
       answer(S, A, S.Delay, Done, rows::ReadOutcome(S.page(What)));
     });
   }
--- a/tests/intake/JobIntakeTest.cpp
+++ b/tests/intake/JobIntakeTest.cpp
@@ -131,6 +131,25 @@
     REQUIRE(Setup.stored("job" + std::to_string(I)));
 }
 
+// Load pattern: a store that takes 0.7 s for a call and longer for those that
+// queue (incident b357: 38 callers were told that the store did not answer
+// while it was slow, and came again). Guards against bounds for a silent store
+// that cut off a slow one.
+TEST_CASE("the bounds for an answer follow a slow store") {
+  Fixture Setup;
+  Setup.Store.Delay = Millis(370);
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(900));
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+  Setup.Store.Delay = Millis(650);
+  Setup.submit("b");
+  Setup.Loop.runFor(Millis(800));
+  Setup.submit("c");
+  Setup.Loop.runFor(Millis(2400));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+}
+
 // Guards against a refusal of a job whose write is applied seconds later.
 TEST_CASE("a submission without an answer is never refused") {
   Fixture Setup;
