--- a/soak/SoakDay.h
+++ b/soak/SoakDay.h
@@ -287,7 +287,12 @@
     case 4:
       if (Worker.up())
         during(
-            Span, [&] { Worker.crash(); }, [&Worker] { Worker.reboot(); });
+            Span, [&] { Worker.crash(); },
+            [&Worker] {
+              // The end of the faults may have come first.
+              if (!Worker.up())
+                Worker.reboot();
+            });
       break;
     case 5:
       during(
