--- a/soak/SoakDay.h
+++ b/soak/SoakDay.h
@@ -69,8 +69,8 @@
   static constexpr Millis CheckInterval{500};
   static constexpr int MaxAttempts = 6;
   static constexpr std::uint16_t FirstPort = 10000;
-  static constexpr std::uint16_t PortsOfSeed = 64;
-  static constexpr std::uint16_t SeedsWithOwnPorts = 300;
+  static constexpr std::uint16_t PortsOfDay = 64;
+  static constexpr std::uint16_t DaysWithOwnPorts = 300;
 
   struct Caller {
     JobId Job;
@@ -420,8 +420,9 @@
   std::chrono::steady_clock::time_point RealBegun =
       std::chrono::steady_clock::now();
   std::mt19937_64 Random;
+  /// By process id, so that days that are played at the same time differ.
   std::uint16_t NextPort = static_cast<std::uint16_t>(
-      FirstPort + Config.Seed % SeedsWithOwnPorts * PortsOfSeed);
+      FirstPort + ::getpid() % DaysWithOwnPorts * PortsOfDay);
   Oracle Watch;
   SoakStore Store;
   boost::asio::steady_timer Pump;
