Bound the names of what is learned, not only the pairs

Ruled out: a bound when encoding, which would drop pairs at random. Change: one bound on filling images for the whole model; their set replaces the gathering of names in encode(). Up to 48 filling images nothing changes.

--- a/include/daisyspool/scheduling/TailModel.h
+++ b/include/daisyspool/scheduling/TailModel.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -96,6 +97,8 @@
   void forgetOldReports(TimePoint Now);
 
   std::map<ImageId, ServingImage> Services;
+  /// All that stand in the Effects of a service.
+  std::set<ImageId> FillingImages;
   std::map<JobId, std::map<VmId, Report>> Reports;
   /// A digest of each VM's newest figures, and when tasks last filled there.
   std::map<VmId, std::size_t> Digests;
--- a/src/scheduling/TailModel.cpp
+++ b/src/scheduling/TailModel.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Serving images, and filling images beside each, beyond it are not learned;
+/// Serving images and filling images beyond it are not learned;
 /// keeps what is learned within 40 KB and so within one row of the store.
 constexpr std::size_t MaxImages = 48;
 /// Assumed of a pair that was never seen: a third of the pairs measured added
@@ -191,8 +191,9 @@
                       double LogExcess, TimePoint Now) {
   std::vector<std::pair<Effect *, double>> Parts{{&Service.Offset, 1.0}};
   for (const auto &[Image, Presence] : Filling) {
-    if (Service.Effects.size() >= MaxImages && !Service.Effects.count(Image))
+    if (FillingImages.size() >= MaxImages && !FillingImages.count(Image))
       continue;
+    FillingImages.insert(Image);
     Effect Present = effect(&Service, Image, Now);
     Effect &Of = Service.Effects[Image];
     Of = {Present.Mean, Present.Variance, Now};
@@ -284,15 +285,12 @@
   msgpack::packer<msgpack::sbuffer> To(Buffer);
   // Names once and numbers as floats keep the row small.
   std::map<ImageId, std::uint32_t> Names;
-  for (const auto &[Serving, Service] : Services)
-    for (const auto &[Filling, Of] : Service.Effects)
-      Names.try_emplace(Filling, static_cast<std::uint32_t>(Names.size()));
-  std::vector<ImageId> Ordered(Names.size());
-  for (const auto &[Name, Number] : Names)
-    Ordered[Number] = Name;
-
   To.pack_array(2);
-  To.pack(Ordered);
+  To.pack_array(static_cast<std::uint32_t>(FillingImages.size()));
+  for (const ImageId &Filling : FillingImages) {
+    Names.emplace(Filling, static_cast<std::uint32_t>(Names.size()));
+    To.pack(Filling);
+  }
   To.pack_array(static_cast<std::uint32_t>(Services.size()));
   for (const auto &[Serving, Service] : Services) {
     To.pack_array(5);
@@ -321,9 +319,11 @@
       ServingImage &Service = Services[ImageId(Each.at(0).get<std::string>())];
       Service.Usual = Each.at(1);
       Service.Offset = {Each.at(2), Each.at(3), Now};
-      for (const json &Pair : Each.at(4))
-        Service.Effects[ImageId(Names.at(Pair.at(0).get<std::size_t>()))] = {
-            Pair.at(1), Pair.at(2), Now};
+      for (const json &Pair : Each.at(4)) {
+        ImageId Filling(Names.at(Pair.at(0).get<std::size_t>()));
+        Service.Effects[Filling] = {Pair.at(1), Pair.at(2), Now};
+        FillingImages.insert(Filling);
+      }
     }
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("tail model: ") + Problem.what());
--- a/tests/scheduling/TailModelTest.cpp
+++ b/tests/scheduling/TailModelTest.cpp
@@ -125,6 +125,20 @@
   REQUIRE(Model.encode(Now).size() < RowBytes * 3 / 4);
 }
 
+// Guards against the same where each service has other batch beside it: the
+// names alone would fill the row.
+TEST_CASE("the names that were learned stay within one row of the store") {
+  constexpr std::size_t RowBytes = 65536;
+  TailModel Model;
+  for (int S = 0; S < 60; ++S)
+    for (int F = 0; F < 60; ++F)
+      Model.observe(
+          vm({serving("serving-image-name-" + std::to_string(S), 40 + F % 2),
+              filling("filling-image-name-" + std::to_string(S * 60 + F))}),
+          Now);
+  REQUIRE(Model.encode(Now).size() < RowBytes * 3 / 4);
+}
+
 // Guards against a new leader that has to learn every pair again, at the cost
 // of the services beside which it tries them.
 TEST_CASE("what was learned passes to the next leader") {
