Build on arm64: select index levels by a checked switch

A clean checkout did not build with g++ 12.2.0 on arm64: after unrolling, FleetView::levelOf() read LevelUnits[3] in a branch that no Dimension takes (-Werror=array-bounds). The enum was cast to an index of an array whose length was a separate constant, so the compiler could not tell that it stays inside.

PerDimension<T> holds one value for each dimension and selects it by a switch, which -Wswitch checks for completeness; amounts, level steps and the two sets of indexes use it, and loops run over Dimensions instead of counting.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@bash scripts/setup.sh
 
 build: setup
-	@cmake -S . -B $(BUILD) -G Ninja > $(BUILD).configure.log || (cat $(BUILD).configure.log; exit 1)
+	@cmake -S . -B $(BUILD) -G Ninja -DDAISYSPOOL_WARNINGS_AS_ERRORS=ON > $(BUILD).configure.log || (cat $(BUILD).configure.log; exit 1)
 	@rm -f $(BUILD).configure.log
 	@ninja -C $(BUILD) -j $(JOBS) --quiet
 
--- a/include/daisyspool/placement/FleetView.h
+++ b/include/daisyspool/placement/FleetView.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace daisyspool::placement {
@@ -18,7 +19,31 @@
 enum class TaskClass : std::uint8_t { Urgent, Session, Standard, Batch };
 
 enum class Dimension : std::uint8_t { Cpu, Memory, Accelerator };
-inline constexpr std::size_t DimensionCount = 3;
+inline constexpr std::array Dimensions{Dimension::Cpu, Dimension::Memory,
+                                       Dimension::Accelerator};
+
+/// One value for each dimension.
+template <typename T> struct PerDimension {
+  T Cpu;
+  T Memory;
+  T Accelerator;
+
+  const T &operator[](Dimension Dim) const {
+    switch (Dim) {
+    case Dimension::Cpu:
+      return Cpu;
+    case Dimension::Memory:
+      return Memory;
+    case Dimension::Accelerator:
+      break;
+    }
+    return Accelerator;
+  }
+
+  T &operator[](Dimension Dim) {
+    return const_cast<T &>(std::as_const(*this)[Dim]);
+  }
+};
 
 /// A task that was evicted this often is not evicted again.
 inline constexpr std::uint8_t MaxEvictions = 3;
@@ -207,8 +232,8 @@
   std::vector<VmState> Vms;
   std::vector<TaskState> Tasks;
   std::vector<TaskIndex> FreeTasks;
-  std::array<BucketIndex, DimensionCount> FreeHeld;
-  std::array<BucketIndex, DimensionCount> FreeFirm;
+  PerDimension<BucketIndex> FreeHeld;
+  PerDimension<BucketIndex> FreeFirm;
   BucketIndex Potential;
   std::unordered_map<std::uint64_t, std::uint32_t> GroupCounts;
   std::vector<Shape> Shapes;
--- a/src/placement/FleetView.cpp
+++ b/src/placement/FleetView.cpp
@@ -34,20 +34,13 @@
 
 /// Step of the lowest index level of each dimension: an eighth of a core,
 /// 128 MiB, one accelerator.
-constexpr std::array<std::int64_t, DimensionCount> LevelUnits{125, 128, 1};
+constexpr PerDimension<std::int64_t> LevelUnits{125, 128, 1};
 
 } // namespace
 
 std::int64_t amount(const Resources &From, Dimension Dim) {
-  switch (Dim) {
-  case Dimension::Cpu:
-    return From.Cpu.value();
-  case Dimension::Memory:
-    return From.Memory.value();
-  case Dimension::Accelerator:
-    return From.Accelerator.value();
-  }
-  return 0;
+  return PerDimension<std::int64_t>{From.Cpu.value(), From.Memory.value(),
+                                    From.Accelerator.value()}[Dim];
 }
 
 PackedResources::PackedResources(const Resources &From)
@@ -234,24 +227,23 @@
 }
 
 const BucketIndex &FleetView::byFreeHeld(Dimension Dim) const {
-  return FreeHeld[static_cast<std::size_t>(Dim)];
+  return FreeHeld[Dim];
 }
 
 const BucketIndex &FleetView::byFreeFirm(Dimension Dim) const {
-  return FreeFirm[static_cast<std::size_t>(Dim)];
+  return FreeFirm[Dim];
 }
 
 int FleetView::levelOf(const Resources &Amount, Dimension Dim) {
-  return BucketIndex::levelOf(amount(Amount, Dim),
-                              LevelUnits[static_cast<std::size_t>(Dim)]);
+  return BucketIndex::levelOf(amount(Amount, Dim), LevelUnits[Dim]);
 }
 
 std::size_t FleetView::bytes() const {
   std::size_t Sum = Vms.capacity() * sizeof(VmState) +
                     Tasks.capacity() * sizeof(TaskState) +
                     FreeTasks.capacity() * sizeof(TaskIndex);
-  for (std::size_t I = 0; I < DimensionCount; ++I)
-    Sum += FreeHeld[I].bytes() + FreeFirm[I].bytes();
+  for (Dimension Dim : Dimensions)
+    Sum += FreeHeld[Dim].bytes() + FreeFirm[Dim].bytes();
   // A node of the hash table holds the pair, its hash link and a bucket.
   Sum += Potential.bytes() +
          GroupCounts.size() * (sizeof(std::uint64_t) * 2 + 2 * sizeof(void *));
@@ -324,18 +316,17 @@
   const VmState &Host = Vms[Vm.index()];
   Resources Held = Host.freeHeld();
   Resources Firm = Host.freeFirm();
-  for (std::size_t I = 0; I < DimensionCount; ++I) {
-    auto Dim = static_cast<Dimension>(I);
-    FreeHeld[I].update(Vm, Host.Domain, levelOf(Held, Dim));
-    FreeFirm[I].update(Vm, Host.Domain, levelOf(Firm, Dim));
+  for (Dimension Dim : Dimensions) {
+    FreeHeld[Dim].update(Vm, Host.Domain, levelOf(Held, Dim));
+    FreeFirm[Dim].update(Vm, Host.Domain, levelOf(Firm, Dim));
   }
   Potential.update(Vm, Host.Domain, levelOf(Host.potential(), Dimension::Cpu));
 }
 
 void FleetView::removeFromIndexes(VmIndex Vm) {
-  for (std::size_t I = 0; I < DimensionCount; ++I) {
-    FreeHeld[I].remove(Vm);
-    FreeFirm[I].remove(Vm);
+  for (Dimension Dim : Dimensions) {
+    FreeHeld[Dim].remove(Vm);
+    FreeFirm[Dim].remove(Vm);
   }
   Potential.remove(Vm);
 }
--- a/src/placement/Placer.cpp
+++ b/src/placement/Placer.cpp
@@ -83,8 +83,7 @@
   Resources Free = Fleet.openCapacity() - Fleet.openHeld();
   Dimension Scarcest = Dimension::Cpu;
   double Highest = -1;
-  for (std::size_t I = 0; I < DimensionCount; ++I) {
-    auto Dim = static_cast<Dimension>(I);
+  for (Dimension Dim : Dimensions) {
     std::int64_t Wanted = amount(Held, Dim);
     // A minimum of one unit keeps the ratio finite when nothing is free.
     double Ratio =
