Show by two tests how a lasting task stays down

- a stop order that an agent process took is not sent to the next process, so the run stays assigned and the task is never placed again;
Callers count a lasting task as lost after 3 s without faults that follow 4 s without faults.

--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -285,6 +285,38 @@
   }
 }
 
+// Guards against a lasting task that stays down for longer than callers accept:
+// its machine is lost for good together with the leader, and the successor
+// waits for grants that the leader may have given.
+TEST_CASE("a lasting task of a machine lost with the leader runs again within "
+          "seconds") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    INFO("seed " << Seed);
+    VirtualFleet Fleet(Seed, 3, 3);
+    Fleet.Loop.runFor(Millis(3000 + static_cast<int>(Seed) * 53));
+    auto Job = chainJob("lasting", 1, 3);
+    Job.Definition.Steps[0].LongRunning = true;
+    Fleet.submit(0, Job, Millis(500));
+    Fleet.Loop.runFor(Millis(1500));
+    REQUIRE(Fleet.Invariants.runningCount() == 3);
+    std::size_t Leader = Fleet.leader();
+    REQUIRE(Leader < 3);
+    for (std::size_t I = 0; I < 3; ++I)
+      if (!Fleet.Workers[I]->idle()) {
+        Fleet.killAgent(I);
+        Fleet.Workers[I]->crash();
+        break;
+      }
+    REQUIRE(Fleet.Invariants.runningCount() < 3);
+    Fleet.killEntry(Leader);
+    // Half a second until the killed process is back, and then 4 s and 3 s
+    // without faults, after which callers count a lasting task as lost.
+    Fleet.Loop.runFor(Millis(7500));
+    REQUIRE(Fleet.Invariants.runningCount() == 3);
+    requireNoViolations(Fleet);
+  }
+}
+
 namespace {
 
 /// Injects one random fault.
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -147,6 +147,8 @@
                                       Random) < LostAnswerShare;
   }
 
+  bool idle() const { return Running.empty(); }
+
   std::size_t endCount() const { return Ended.size() + LastEnd; }
 
 private:
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -345,3 +345,25 @@
   REQUIRE(Setup.Subject.vm(VmId(First))->Assigned.empty());
   REQUIRE(Setup.runCount("a") == 1);
 }
+
+// Guards against a lasting task that never runs again: the agent process that
+// took its stop order ended before it reported the run as over.
+TEST_CASE("a stop order that ended with its agent process is sent again") {
+  Fixture Setup(1);
+  Setup.Subject.addJob(service("a", 1, 1000, "i"), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  VmId Vm("vm0");
+  auto &Reply = Setup.Replies[Vm];
+  Reply.Stalled = {Reply.Running[0].Name};
+  Setup.sendReplies();
+  REQUIRE(Setup.Subject.nextSync(Vm, Epoch(1), Setup.Now).Stops.size() == 1);
+
+  Reply.AgentIncarnation = 2;
+  Reply.Stalled.clear();
+  Reply.Running.clear();
+  Setup.Subject.onSyncReply(Vm, Setup.Subject.vm(Vm)->LastSync, Reply,
+                            Setup.Now);
+  REQUIRE(Setup.Subject.hasOrders(Vm));
+  REQUIRE(Setup.Subject.nextSync(Vm, Epoch(1), Setup.Now).Stops.size() == 1);
+}
