Send stop orders again that an agent process no longer has

Callers saw: a task that is to last runs nowhere, and a cancelled or stalled run may go on, although its agent is up.

Cause: a stop order counted as delivered once one process had taken it. Start orders are marked for repetition when a new agent process replies or when a reply does not list them; StopSentInSync was cleared only when the sync itself failed. A stop that ended with the process was never sent again, so the run stayed assigned, held its resources, and was not placed again.

Change: both kinds of order are repeated until a reply accounts for them. A new agent process gets all pending stops, and a stop that a reply does not list as unsettled is sent again.

--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -48,10 +48,13 @@
   /// ignores orders of an older sync once it has answered a newer one.
   std::uint64_t NewestOrderSync = 0;
   bool Stopping = false;
+  /// The sync that carried the stop order; 0 if it has to be sent.
   std::uint64_t StopSentInSync = 0;
   std::uint32_t Percent = 0;
   /// Number of the VM's newest reply that lists the run.
   std::uint64_t ListedInReply = 0;
+  /// Number of the VM's newest reply that lists an unsettled order for the run.
+  std::uint64_t OrderListedInReply = 0;
   TimePoint AssignedAt{};
 };
 
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -50,7 +50,7 @@
     Vm.NewestStamp = 0;
     // A new agent process knows its worker's runs but not the orders sent.
     for (auto &[Name, Run] : Vm.Assigned)
-      Run.SentInSync = 0;
+      Run.SentInSync = Run.StopSentInSync = 0;
   }
   Vm.NewestStamp = std::max(Vm.NewestStamp, Reply.Stamp);
   applyWorker(Vm, Reply);
@@ -213,7 +213,8 @@
         Run->Load = Task.Load;
       }
   for (const runner::RunName &Name : Reply.Starting)
-    MarkListed(Name);
+    if (Assignment *Run = MarkListed(Name))
+      Run->OrderListedInReply = Vm.Replies;
 }
 
 void Scheduler::reconcile(VmState &Vm, std::uint64_t Number,
@@ -221,6 +222,10 @@
   updateListedRuns(Vm, Reply);
   std::vector<TaskName> EndedTasks;
   for (auto &[Name, Run] : Vm.Assigned) {
+    // The agent lists a stop until its outcome is reported.
+    if (Run.Stopping && Run.OrderListedInReply != Vm.Replies &&
+        Number >= Run.StopSentInSync)
+      Run.StopSentInSync = 0;
     // An order that is in flight to the agent may still be carried out.
     if (Run.ListedInReply == Vm.Replies || Number < Run.NewestOrderSync)
       continue;
