Count a predecessor's grants from its last status, not from the takeover

Callers saw: lasting tasks on a machine that was lost together with the leader were down for 8.9 s and longer, also after each further takeover.

Cause: the successor assumed that its predecessor acted until the moment of the takeover, 1.6 s and more after the last sign of it, and waited 3 s (lease) plus 4.1 s (grant) from there for every agent that it does not reach.

Change: only transactions that renew the status row extend a leader's lease, and a takeover requires the version of the status row that this process has read. The predecessor's lease therefore began before that version was received, and the wait counts from there: 7.1 s after the last status, however long the takeover takes. The takeover also fails if the leader has renewed meanwhile. The renewal interval counts from the start of the lease, so that a slow store does not lengthen the age of the lease.

--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -29,7 +29,7 @@
     ProcessId Process;
     Incarnation ProcessIncarnation;
     /// How long a leader may act after the start of its last successful
-    /// transaction.
+    /// transaction that renewed its status.
     Millis Lease{3000};
     /// Interval at which the leader rewrites its status.
     Millis RenewalInterval{500};
@@ -60,16 +60,16 @@
   /// State that exists only while this process leads.
   struct LeaderState;
   struct Transaction;
+  struct Takeover;
 
   void onStatusRows(const std::vector<rows::StoredRow> &Rows);
   void checkLeader();
   void readFence();
   void takeOver(rows::RowVersion FenceVersion, Epoch NewestEpoch);
-  void onTakeoverOutcome(const Fence &OwnFence, TimePoint StartedAt,
+  void onTakeoverOutcome(const Takeover &Attempt,
                          const rows::CommitOutcome &Outcome);
-  void confirmTakeover(const Fence &OwnFence, TimePoint StartedAt);
-  void startLeading(const Fence &OwnFence, TimePoint StartedAt,
-                    rows::RowVersion FenceVersion);
+  void confirmTakeover(const Takeover &Attempt);
+  void startLeading(const Takeover &Attempt, rows::RowVersion FenceVersion);
   void onIntakeRows(const std::vector<rows::StoredRow> &Rows);
   void applyIntakeRow(const rows::StoredRow &Row);
   void readProgress(const std::string &FromKey);
@@ -99,6 +99,9 @@
   LeaderStatus Status;
   bool StatusKnown = false;
   TimePoint StatusChangedAt{};
+  /// Version of the status row, and when this process first received it.
+  rows::RowVersion StatusVersion;
+  TimePoint StatusReceivedAt{};
   bool TakingOver = false;
   bool Closed = false;
   /// This process as the leader; empty while it does not lead.
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -123,7 +123,7 @@
   if (Leadership->Committing || !Leadership->Loaded)
     return;
   bool RenewsStatus =
-      Time.now() - Leadership->LastRenewalAt >= Config.RenewalInterval;
+      Time.now() - Leadership->LeaseStart >= Config.RenewalInterval;
   if (!RenewsStatus && !Leadership->JobScheduler.hasChanges())
     return;
 
@@ -192,10 +192,11 @@
   Leadership->Committing = false;
   Leadership->OwnFence = Committed.OwnFence;
   Leadership->FenceVersion = FenceVersion;
-  Leadership->LeaseStart =
-      std::max(Leadership->LeaseStart, Committed.StartedAt);
+  // A successor knows the newest status but not other transactions, and derives
+  // from it how long this leader may have acted.
   if (Committed.RenewsStatus)
-    Leadership->LastRenewalAt = Time.now();
+    Leadership->LeaseStart =
+        std::max(Leadership->LeaseStart, Committed.StartedAt);
   Leadership->JobScheduler.onCommitted(CommitNumber(Committed.Number));
   if (auto Done = std::move(Leadership->PendingClose))
     return close(std::move(Done));
--- a/src/leadership/LeaderState.h
+++ b/src/leadership/LeaderState.h
@@ -30,6 +30,14 @@
   TimePoint StartedAt{};
 };
 
+/// One attempt to become the leader.
+struct LeaderDuty::Takeover {
+  Fence OwnFence;
+  TimePoint StartedAt{};
+  /// No grant of an earlier leader ends later.
+  TimePoint EarlierGrantsEnd{};
+};
+
 struct LeaderDuty::LeaderState {
   LeaderState(EventLoop &Loop, const Scheduler::Options &Scheduling)
       : JobScheduler(Scheduling), WorkTimer(Loop.timer()),
@@ -38,8 +46,9 @@
   Scheduler JobScheduler;
   Fence OwnFence;
   rows::RowVersion FenceVersion;
+  /// Start of the newest durable transaction that renewed the status.
   TimePoint LeaseStart{};
-  TimePoint LastRenewalAt{};
+  TimePoint EarlierGrantsEnd{};
   bool Loaded = false;
   bool IntakeRead = false;
   bool Committing = false;
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -31,6 +31,10 @@
 void LeaderDuty::onStatusRows(const std::vector<rows::StoredRow> &Rows) {
   StatusKnown = true;
   StatusChangedAt = Time.now();
+  if (!Rows.empty() && Rows.back().Version != StatusVersion) {
+    StatusVersion = Rows.back().Version;
+    StatusReceivedAt = Time.now();
+  }
   if (!Rows.empty()) {
     try {
       LeaderStatus Next = decodeLeaderStatus(Rows.back().Value);
@@ -97,52 +101,64 @@
 }
 
 void LeaderDuty::takeOver(rows::RowVersion FenceVersion, Epoch NewestEpoch) {
-  Fence OwnFence{
+  Takeover Attempt;
+  Attempt.OwnFence = {
       {NewestEpoch.next(), Config.Process, Config.ProcessIncarnation},
       Scheduler::RestoredCommit.value()};
+  Attempt.StartedAt = Time.now();
+  // The newest lease of the predecessor began before this process received its
+  // newest status, and what it granted until the end of that lease lasts for
+  // one more grant.
+  Attempt.EarlierGrantsEnd = StatusReceivedAt + Config.Lease +
+                             Config.Scheduling.Grant +
+                             Config.Scheduling.GrantMargin;
   LogEvent(LogLevel::Info, "leader_takeover")
-      .with("epoch", OwnFence.Leader.Term)
+      .with("epoch", Attempt.OwnFence.Leader.Term)
       .with("before", Status.Leader.Process)
       .with("status_age_ms",
             std::chrono::duration_cast<Millis>(Time.now() - StatusChangedAt)
+                .count())
+      .with("earlier_grants_left_ms",
+            std::chrono::duration_cast<Millis>(Attempt.EarlierGrantsEnd -
+                                               Attempt.StartedAt)
                 .count());
   LeaderStatus NewStatus;
-  NewStatus.Leader = OwnFence.Leader;
+  NewStatus.Leader = Attempt.OwnFence.Leader;
   NewStatus.Pending = Status.Pending;
   rows::RowTransaction Write;
   Write.Conditions.push_back({intake::fenceRow(), FenceVersion});
-  Write.Puts.push_back({intake::fenceRow(), encode(OwnFence)});
+  // With a newer status the predecessor has a newer lease.
+  Write.Conditions.push_back({intake::leaderRow(), StatusVersion});
+  Write.Puts.push_back({intake::fenceRow(), encode(Attempt.OwnFence)});
   Write.Puts.push_back({intake::leaderRow(), encode(NewStatus)});
-  TimePoint StartedAt = Time.now();
   Store.commit(Write, CallTimeout,
-               [this, OwnFence, StartedAt](const rows::CommitOutcome &Outcome) {
-                 onTakeoverOutcome(OwnFence, StartedAt, Outcome);
+               [this, Attempt](const rows::CommitOutcome &Outcome) {
+                 onTakeoverOutcome(Attempt, Outcome);
                });
 }
 
-void LeaderDuty::onTakeoverOutcome(const Fence &OwnFence, TimePoint StartedAt,
+void LeaderDuty::onTakeoverOutcome(const Takeover &Attempt,
                                    const rows::CommitOutcome &Outcome) {
   if (const auto *Success = std::get_if<rows::Committed>(&Outcome))
-    return startLeading(OwnFence, StartedAt, Success->Version);
+    return startLeading(Attempt, Success->Version);
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
-    return confirmTakeover(OwnFence, StartedAt);
+    return confirmTakeover(Attempt);
 
   LogEvent(LogLevel::Info, "leader_takeover_lost")
-      .with("epoch", OwnFence.Leader.Term);
+      .with("epoch", Attempt.OwnFence.Leader.Term);
   TakingOver = false;
   // Another process may just have taken over; gives it time for its first
   // renewal.
   StatusChangedAt = Time.now();
 }
 
-void LeaderDuty::confirmTakeover(const Fence &OwnFence, TimePoint StartedAt) {
+void LeaderDuty::confirmTakeover(const Takeover &Attempt) {
   Store.read(singleRowRange(intake::fenceRow()), CallTimeout,
-             [this, OwnFence, StartedAt](const rows::ReadOutcome &Outcome) {
+             [this, Attempt](const rows::ReadOutcome &Outcome) {
                const auto *Page = std::get_if<rows::RowPage>(&Outcome);
                if (Page && !Page->Rows.empty() &&
-                   tryDecodeFence(Page->Rows.front()) == OwnFence)
-                 return startLeading(OwnFence, StartedAt,
-                                     Page->Rows.front().Version);
+                   tryDecodeFence(Page->Rows.front()) == Attempt.OwnFence)
+                 return startLeading(Attempt, Page->Rows.front().Version);
                // If the transaction is applied later, the status row shows
                // this process as leader and it takes over from itself.
                TakingOver = false;
@@ -150,11 +166,12 @@
              });
 }
 
-void LeaderDuty::startLeading(const Fence &OwnFence, TimePoint StartedAt,
+void LeaderDuty::startLeading(const Takeover &Attempt,
                               rows::RowVersion FenceVersion) {
   TakingOver = false;
   if (Closed)
     return;
+  const Fence &OwnFence = Attempt.OwnFence;
   OwnIdentity = OwnFence.Leader;
   Status.Leader = OwnFence.Leader;
   Status.Released = false;
@@ -162,8 +179,8 @@
   Leadership = std::make_unique<LeaderState>(Loop, Config.Scheduling);
   Leadership->OwnFence = OwnFence;
   Leadership->FenceVersion = FenceVersion;
-  Leadership->LeaseStart = StartedAt;
-  Leadership->LastRenewalAt = Time.now();
+  Leadership->LeaseStart = Attempt.StartedAt;
+  Leadership->EarlierGrantsEnd = Attempt.EarlierGrantsEnd;
   Leadership->JobScheduler.configure(Fleet);
   LogEvent(LogLevel::Info, "leader_began")
       .with("epoch", OwnFence.Leader.Term)
@@ -277,11 +294,7 @@
 }
 
 void LeaderDuty::finishLoading() {
-  // The predecessor may have granted leases until its own lease ended, and
-  // those last for one more grant.
-  Leadership->JobScheduler.assumeGrants(Leadership->LeaseStart + Config.Lease +
-                                        Config.Scheduling.Grant +
-                                        Config.Scheduling.GrantMargin);
+  Leadership->JobScheduler.assumeGrants(Leadership->EarlierGrantsEnd);
   Leadership->Loaded = true;
   LogEvent(LogLevel::Info, "leader_loaded")
       .with("epoch", OwnIdentity->Term)
