Prefer another VM for a task that a worker turned away

Callers saw: a lasting task that runs nowhere while other workers have room.

Cause: a refused start left no trace in the choice of the VM. The VM with the least free room was chosen again with the same result, for as long as its worker turned starts away (429, 503 or 400). Failed and stalled runs already count against the VM; refused ones did not.

Change: a refusal on account of the worker's own state makes other VMs preferred for that task and counts towards the worker's probation. Avoided VMs are a set, as a lasting task may fail on the same VM any number of times.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -6,6 +6,7 @@
 #include "daisyspool/workload/JobDefinition.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,8 +44,8 @@
   WorkerLife Life;
   /// Earliest next start, after a failure.
   TimePoint NotBefore{};
-  /// VMs on which the task failed or stalled.
-  std::vector<VmId> AvoidedVms;
+  /// VMs on which the task failed or stalled, or that turned it away.
+  std::set<VmId> AvoidedVms;
 };
 
 struct StepProgress {
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -136,6 +136,10 @@
   void finishTask(JobProgress &Job, const TaskName &Name);
   void failTask(JobProgress &Job, VmState &Vm, const TaskName &Name,
                 TimePoint Now);
+  /// Counts a failure of the worker on \p Vm, which may put it on probation.
+  void countFailure(VmState &Vm, TimePoint Now);
+  /// Makes other VMs preferred for further runs of the task.
+  void avoidVm(const TaskName &Name, const VmId &Vm);
   void applyRefusals(VmState &Vm, const runner::SyncReply &Reply,
                      TimePoint Now);
   void reconcile(VmState &Vm, std::uint64_t Number,
--- a/include/daisyspool/scheduling/VmChoice.h
+++ b/include/daisyspool/scheduling/VmChoice.h
@@ -6,6 +6,7 @@
 #include "daisyspool/scheduling/VmState.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace daisyspool::scheduling {
@@ -15,7 +16,7 @@
   const workload::StepDefinition *Step = nullptr;
   ServiceId Service;
   /// VMs on which the task has failed; used only if no other fits.
-  const std::vector<VmId> *AvoidedVms = nullptr;
+  const std::set<VmId> *AvoidedVms = nullptr;
   /// Number of tasks of the same step and occurrence, by VM.
   const std::map<VmId, std::uint32_t> *SiblingsByVm = nullptr;
   /// Required for a best-effort step.
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -156,7 +156,7 @@
                          TimePoint Now) {
   auto &Tasks = Job.Occurrences[Name.Occurrence].Steps[Name.Step].Tasks;
   const auto &Step = Job.stepDefinition(Name);
-  Tasks[Name.Index].AvoidedVms.push_back(Vm.Id);
+  avoidVm(Name, Vm.Id);
   // A gang fails as a whole.
   for (std::uint32_t N = 0; N < Tasks.size(); ++N)
     if (Step.Gang || N == Name.Index)
@@ -165,18 +165,31 @@
 
   // Load pattern: a worker on which every task fails ends them at once, looks
   // idle and would attract the whole queue.
-  Vm.FailureScore += 1;
-  if (Vm.FailureScore >= Config.ProbationFailureScore) {
-    Vm.ProbationUntil = Now + Config.Probation;
-    LogEvent(LogLevel::Warning, "worker_on_probation")
-        .with("vm", Vm.Id)
-        .with("failure_score", static_cast<std::int64_t>(Vm.FailureScore));
-  }
+  countFailure(Vm, Now);
   if (!Step.LongRunning && !isFinal(Job.Status) &&
       Tasks[Name.Index].Failures >= Job.Record.Policy.MaxAttempts)
     endJob(Job, JobStatus::Failed);
 }
 
+void Scheduler::countFailure(VmState &Vm, TimePoint Now) {
+  Vm.FailureScore += 1;
+  if (Vm.FailureScore < Config.ProbationFailureScore)
+    return;
+
+  Vm.ProbationUntil = Now + Config.Probation;
+  LogEvent(LogLevel::Warning, "worker_on_probation")
+      .with("vm", Vm.Id)
+      .with("failure_score", static_cast<std::int64_t>(Vm.FailureScore));
+}
+
+void Scheduler::avoidVm(const TaskName &Name, const VmId &Vm) {
+  auto Found = Jobs.find(Name.Job);
+  if (Found == Jobs.end())
+    return;
+  if (TaskProgress *Task = Found->second.findTask(Name))
+    Task->AvoidedVms.insert(Vm);
+}
+
 void Scheduler::applyRefusals(VmState &Vm, const runner::SyncReply &Reply,
                               TimePoint Now) {
   for (const runner::RefusedRun &Refusal : Reply.Refused) {
@@ -192,6 +205,13 @@
         .with("run", Refusal.Name.Run)
         .with("vm", Vm.Id)
         .with("reason", static_cast<std::int64_t>(Refusal.Reason));
+    // Load pattern: a worker turns away all starts while it reports free room.
+    // The choice of a VM would not change otherwise, and the task would be
+    // offered to the same worker for as long as that lasts.
+    if (Refusal.Reason == runner::RefusalReason::Unhealthy) {
+      countFailure(Vm, Now);
+      avoidVm(Name, Vm.Id);
+    }
     requeueTask(Vm, Name, Now + Config.RetryDelay, "refused");
   }
 }
@@ -252,12 +272,8 @@
       continue;
     // Load pattern: tasks on some workers stall while their leases are still
     // renewed, so only the missing progress shows it.
-    Vm.FailureScore += 1;
-    if (Vm.FailureScore >= Config.ProbationFailureScore)
-      Vm.ProbationUntil = Now + Config.Probation;
-    if (auto Job = Jobs.find(Stalled.Task.Job); Job != Jobs.end())
-      if (TaskProgress *Task = Job->second.findTask(Stalled.Task))
-        Task->AvoidedVms.push_back(Vm.Id);
+    countFailure(Vm, Now);
+    avoidVm(Stalled.Task, Vm.Id);
     stopRun(Vm, Stalled.Task, "stalled");
   }
 }
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -30,9 +30,7 @@
 }
 
 bool isAvoided(const VmState &Vm, const VmRequest &Request) {
-  const auto &AvoidedVms = *Request.AvoidedVms;
-  return std::find(AvoidedVms.begin(), AvoidedVms.end(), Vm.Id) !=
-         AvoidedVms.end();
+  return Request.AvoidedVms->count(Vm.Id) != 0;
 }
 
 /// Estimated millicores not in use. Services reserve for their peak, so only a
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -236,6 +236,21 @@
   requireNoViolations(Fleet);
 }
 
+// Guards against a lasting task that is offered again and again to the worker
+// that turns it away, as that one has the least free room, and runs nowhere.
+TEST_CASE("a lasting task that a worker turns away runs on another") {
+  VirtualFleet Fleet(14, 3, 4);
+  Fleet.Loop.runFor(Millis(3000));
+  for (std::size_t I = 0; I < 3; ++I)
+    Fleet.Workers[I]->Busy = true;
+  auto Job = chainJob("lasting", 1, 2);
+  Job.Definition.Steps[0].LongRunning = true;
+  Fleet.submit(0, Job, Millis(500));
+  Fleet.Loop.runFor(Millis(3000));
+  REQUIRE(Fleet.Invariants.runningCount() == 2);
+  requireNoViolations(Fleet);
+}
+
 // Guards against tasks that make no progress on a worker whose lease is
 // extended.
 TEST_CASE("stalled tasks start elsewhere") {
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -31,6 +31,8 @@
   bool Hangs = false;
   /// New runs fail after 20 ms.
   bool FailsAll = false;
+  /// Starts are turned away without an effect.
+  bool Busy = false;
   bool Draining = false;
   /// Share of orders without an answer; the worker carries them out seconds
   /// later.
@@ -85,6 +87,8 @@
       return runner::OtherLife{};
     if (Token < HighestToken)
       return runner::FencedOut{};
+    if (Busy)
+      return runner::WorkerBusy{};
     HighestToken = Token;
     extend(Start.LeaseEnd);
     auto Existing = Running.find(Start.Name.Task);
