Do not reuse connections that may have gone silent with another

Callers saw: nothing yet; found while the lost lasting task was traced.

Cause: open connections between two machines can go silent together, without a reset. Each idle connection of the pool was then tried in turn, and each one cost a whole timeout: up to 4 times 1.5 s between the leader and an agent, and 0.4 s for each of up to 16 connections to a worker, longer than a worker's lease of 2.5 s.

Change: after a failed request no connection is reused that was already idle when the request began.

--- a/include/daisyspool/http/Client.h
+++ b/include/daisyspool/http/Client.h
@@ -45,7 +45,8 @@
   ~Client();
 
   /// Sends \p Message and calls \p Done once, with a ClientError on failure.
-  /// \p Timeout bounds connecting, sending and receiving together.
+  /// \p Timeout bounds connecting, sending and receiving together. After a
+  /// failure no connection that was idle before is reused.
   void send(Request Message, Millis Timeout, Callback Done);
 
   /// As send(), but passes each piece of the body to \p OnChunk as it arrives
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -191,16 +191,20 @@
     }
 
     auto Connection = takeIdle();
+    auto StartedAt = std::chrono::steady_clock::now();
     ++Busy;
-    Connection->start(
-        std::move(Message), Timeout, std::move(OnChunk),
-        [Self = shared_from_this(), Connection, Done = std::move(Done)](
-            Response Answer, std::exception_ptr Failure, bool KeepAlive) {
-          --Self->Busy;
-          if (KeepAlive)
-            Self->putIdle(Connection);
-          Done(std::move(Answer), std::move(Failure));
-        });
+    Connection->start(std::move(Message), Timeout, std::move(OnChunk),
+                      [Self = shared_from_this(), Connection, StartedAt,
+                       Done = std::move(Done)](Response Answer,
+                                               std::exception_ptr Failure,
+                                               bool KeepAlive) {
+                        --Self->Busy;
+                        if (KeepAlive)
+                          Self->putIdle(Connection);
+                        if (Failure)
+                          Self->closeIdleSince(StartedAt);
+                        Done(std::move(Answer), std::move(Failure));
+                      });
   }
 
   std::size_t busy() const { return Busy; }
@@ -218,6 +222,15 @@
     return std::make_shared<ClientConnection>(Io, Config);
   }
 
+  /// Closes the connections that have been idle since \p Time or longer.
+  /// Connections to a server go silent together; only a timeout shows it, and
+  /// each further one would cost another request.
+  void closeIdleSince(SteadyTime Time) {
+    std::erase_if(Idle, [Time](const auto &Connection) {
+      return Connection->IdleSince <= Time;
+    });
+  }
+
   void putIdle(std::shared_ptr<ClientConnection> Connection) {
     Connection->IdleSince = std::chrono::steady_clock::now();
     Idle.push_back(std::move(Connection));
