Run a serving task on a doubtful VM rather than nowhere

Callers saw: a task that is to last runs nowhere, with room for it.

Cause: two preferences were treated as requirements. A VM on probation takes no second task, and a VM takes no more than half of a service, even if no other VM has room. Jobs that always fail can put every VM on probation at once; in a full fleet the VM with room may be the one with half of the service.

Change: for a serving task that finds no VM, the choice is repeated without the two. Short tasks are queued as before.

--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -132,13 +132,15 @@
     return false;
   if (Step.MaxPerVm != 0 && siblingCount(Vm, Request) >= Step.MaxPerVm)
     return false;
+  if (Request.LastResort)
+    return true;
   // At most half of a service is lost with one VM.
   if (Step.LongRunning && siblingCount(Vm, Request) * 2 >= Step.Count + 1)
     return false;
   return Now >= Vm.ProbationUntil || Vm.Assigned.empty();
 }
 
-VmState *chooseVm(std::vector<VmState *> &Vms, const VmRequest &Request,
+VmState *chooseVm(std::vector<VmState *> &Vms, VmRequest Request,
                   TimePoint Now) {
   VmState *Best = nullptr;
   Score BestScore;
@@ -153,8 +155,11 @@
       BestScore = Candidate;
     }
   }
+  if (Best || !Request.Step->LongRunning || Request.LastResort)
+    return Best;
 
-  return Best;
+  Request.LastResort = true;
+  return chooseVm(Vms, Request, Now);
 }
 
 VmState *chooseReservation(std::vector<VmState *> &Vms,
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -258,6 +258,34 @@
   }
 }
 
+// Load pattern: a fleet that is full but for one VM. Guards against a serving
+// task that does not run, as half of its service is on the only VM with room.
+TEST_CASE("a serving task runs beside its siblings if only their VM has room") {
+  Fixture Setup(2, 4000);
+  Setup.Subject.addJob(service("full", 1, 4000, "y"), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.Subject.addJob(service("x", 4, 900, "x"), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  REQUIRE(Setup.runCount("x") == 4);
+}
+
+// Load pattern: jobs that always fail put all VMs on probation. Guards against
+// a serving task that does not run meanwhile.
+TEST_CASE("a serving task runs on a VM on probation if no other has room") {
+  Fixture Setup(1);
+  Setup.Subject.addJob(service("x", 1, 1000, "x"), Millis(0), Setup.Now);
+  Setup.Subject.addJob(job("poison", 3, 500), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  for (std::uint32_t I = 0; I < 3; ++I)
+    Setup.endRun("vm0", {JobId("poison"), 0, 0, I}, 1,
+                 runner::EndCause::Failed);
+  REQUIRE(Setup.Subject.vm(VmId("vm0"))->ProbationUntil > Setup.Now);
+  Setup.Subject.addJob(service("y", 1, 1000, "x"), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  REQUIRE(Setup.runCount("y") == 1);
+}
+
 // Guards against losing a cancellation when older stored progress is restored.
 TEST_CASE("progress restored after a cancellation keeps the job cancelled") {
   std::string Progress;
