Parse documents of other writers with limits

The library's MessagePack parser recurses once for each level, as does copying a JSON value, and neither parser limits what a document may take. Conversions of its numbers wrap, clip or, for doubles out of range, are undefined.

--- a/include/daisyspool/wire/wire.h
+++ b/include/daisyspool/wire/wire.h
@@ -4,6 +4,7 @@
 //   Messages.h  the message types and the envelope
 //   Codec.h     encoding and decoding with the protocol version check
 //   Adaptors.h  MessagePack adaptors for strong types
+//   Document.h  bounded JSON and MessagePack documents of other writers
 //
 // See Messages.h next.
 #ifndef DAISYSPOOL_WIRE_WIRE_H
