Reject stored jobs that are nested too deeply or have odd numbers

A row of 60 KB with nested arrays overflowed the stack of every entry that read it: decodeJob() ended with SIGSEGV. Numbers out of range wrapped or were clipped. From the code, not run: `after` could name a step that does not exist (an access beyond the vector), and a count of 4 billion tasks would exhaust the memory.

decodeJob() parses with limits and throws ProtocolError for a number out of range.

Before: "a deeply nested stored job throws ProtocolError" ended with SIGSEGV, "a stored job with a number out of range throws ProtocolError" failed for the time -1.

--- a/include/daisyspool/workload/JobDefinition.h
+++ b/include/daisyspool/workload/JobDefinition.h
@@ -82,12 +82,19 @@
   WallMillis Accepted{0};
 };
 
+/// Checks what concerns several fields: steps refer only to earlier ones, and
+/// the numbers of steps and tasks and the sum of the estimates are within the
+/// limits of Limits.h. Precondition: each duration is within its limit.
+///
+/// Thread safety: safe from any thread. Errors: throws ProtocolError.
+void validate(const JobDefinition &Job);
+
 /// Serializes a job for the store.
 ///
 /// Thread safety: safe from any thread.
 std::string encodeJob(const JobRecord &Job);
 
-/// The reverse of encodeJob().
+/// The reverse of encodeJob(); the job is valid.
 ///
 /// Thread safety: safe from any thread. Errors: throws ProtocolError.
 JobRecord decodeJob(std::string_view Bytes);
--- a/include/daisyspool/workload/workload.h
+++ b/include/daisyspool/workload/workload.h
@@ -3,6 +3,7 @@
 //
 //   JobDefinition.h  jobs, steps, tasks and the policy of their queue
 //   FleetConfig.h    routes and services of one configuration
+//   Limits.h         limits of the numbers that other processes send
 //
 // See JobDefinition.h next.
 #ifndef DAISYSPOOL_WORKLOAD_WORKLOAD_H
@@ -10,5 +11,6 @@
 
 #include "daisyspool/workload/FleetConfig.h"
 #include "daisyspool/workload/JobDefinition.h"
+#include "daisyspool/workload/Limits.h"
 
 #endif // DAISYSPOOL_WORKLOAD_WORKLOAD_H
--- a/src/workload/JobDefinition.cpp
+++ b/src/workload/JobDefinition.cpp
@@ -1,9 +1,12 @@
 #include "daisyspool/workload/JobDefinition.h"
 
 #include "daisyspool/core/Errors.h"
+#include "daisyspool/wire/Document.h"
+#include "daisyspool/workload/Limits.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace daisyspool::workload {
@@ -11,6 +14,7 @@
 namespace {
 
 using nlohmann::json;
+using wire::wholeNumber;
 
 enum StepFlag : unsigned {
   FlagCheckpoints = 1,
@@ -38,17 +42,23 @@
        Step.MaxUnavailable ? json(*Step.MaxUnavailable) : json(nullptr)});
 }
 
+Millis durationFromJson(const json &From) {
+  return Millis(wholeNumber(From, 0, MaxDurationMillis));
+}
+
 StepDefinition stepFromJson(const json &From) {
   StepDefinition Step;
-  Step.Count = From.at(0);
-  Step.Needs = {MilliCores(From.at(1)), MebiBytes(From.at(2)),
-                Accelerators(From.at(3))};
-  Step.Estimate = Millis(From.at(4).get<std::int64_t>());
-  Step.After = From.at(5).get<std::vector<std::uint32_t>>();
+  Step.Count = wholeNumber<std::uint32_t>(From.at(0));
+  Step.Needs = {MilliCores(wholeNumber(From.at(1), 0, MaxMilliCores)),
+                MebiBytes(wholeNumber(From.at(2), 0, MaxMebiBytes)),
+                Accelerators(wholeNumber(From.at(3), 0, MaxAccelerators))};
+  Step.Estimate = durationFromJson(From.at(4));
+  for (const json &Earlier : From.at(5).get_ref<const json::array_t &>())
+    Step.After.push_back(wholeNumber<std::uint32_t>(Earlier));
   Step.RequiredLabel = LabelId(From.at(6));
   Step.PreferredRack = RackId(From.at(7));
-  Step.MaxPerVm = From.at(8);
-  unsigned Flags = From.at(9);
+  Step.MaxPerVm = wholeNumber<std::uint32_t>(From.at(8));
+  auto Flags = wholeNumber<unsigned>(From.at(9));
   Step.Checkpoints = (Flags & FlagCheckpoints) != 0;
   Step.Gang = (Flags & FlagGang) != 0;
   Step.SameRack = (Flags & FlagSameRack) != 0;
@@ -56,9 +66,9 @@
   Step.LongRunning = (Flags & FlagLongRunning) != 0;
   Step.FillsIdleCpu = (Flags & FlagFillsIdleCpu) != 0;
   Step.Image = ImageId(From.at(10));
-  Step.TailTarget = Millis(From.at(11).get<std::int64_t>());
+  Step.TailTarget = durationFromJson(From.at(11));
   if (!From.at(12).is_null())
-    Step.MaxUnavailable = From.at(12).get<std::uint32_t>();
+    Step.MaxUnavailable = wholeNumber<std::uint32_t>(From.at(12));
 
   return Step;
 }
@@ -86,6 +96,32 @@
 
 } // namespace
 
+void validate(const JobDefinition &Job) {
+  if (Job.Steps.empty() || Job.Steps.size() > MaxSteps)
+    throw ProtocolError("a job must have 1 to 100 steps");
+
+  std::uint64_t Tasks = 0;
+  Millis EstimateSum{0};
+  for (std::size_t I = 0; I < Job.Steps.size(); ++I) {
+    const StepDefinition &Step = Job.Steps[I];
+    for (std::uint32_t Earlier : Step.After)
+      if (Earlier >= I)
+        throw ProtocolError("step " + std::to_string(I) +
+                            " depends on a step that is not an earlier one");
+    if (Step.Count == 0)
+      throw ProtocolError("step " + std::to_string(I) + " has no tasks");
+    Tasks += Step.Count;
+    EstimateSum += Step.Estimate;
+  }
+  if (Tasks > MaxTasks)
+    throw ProtocolError("a job must have at most 5000 tasks");
+  if (Tasks * std::max(1U, Job.Repeats.Times) > MaxTaskOccurrences)
+    throw ProtocolError("a job must have at most 100000 tasks in all "
+                        "occurrences");
+  if (EstimateSum > Millis(MaxDurationMillis))
+    throw ProtocolError("the estimates of a job's steps are too long");
+}
+
 std::string encodeJob(const JobRecord &Job) {
   json Steps = json::array();
   for (const StepDefinition &Step : Job.Definition.Steps)
@@ -106,22 +142,26 @@
 
 JobRecord decodeJob(std::string_view Bytes) {
   try {
-    json Root = json::from_msgpack(Bytes.begin(), Bytes.end());
+    json Root = wire::parseMsgpack(Bytes);
     JobRecord Job;
     Job.Id = JobId(Root.at(0));
-    Job.Accepted = WallMillis(Root.at(1).get<std::int64_t>());
+    Job.Accepted = WallMillis(wholeNumber(Root.at(1), 0, MaxClockMillis));
     const json &Policy = Root.at(2);
-    Job.Policy = {
-        QueueId(Policy.at(0)), ServiceId(Policy.at(1)),
-        Policy.at(2),          Policy.at(3),
-        Policy.at(4),          Millis(Policy.at(5).get<std::int64_t>())};
+    Job.Policy = {QueueId(Policy.at(0)),
+                  ServiceId(Policy.at(1)),
+                  wholeNumber<int>(Policy.at(2)),
+                  wholeNumber<std::uint32_t>(Policy.at(3)),
+                  wire::realNumber(Policy.at(4), 0, MaxSlackFactor),
+                  durationFromJson(Policy.at(5))};
     Job.Definition.Spec = Root.at(3);
     for (const json &Step : Root.at(4))
       Job.Definition.Steps.push_back(stepFromJson(Step));
     const json &Repeats = Root.at(5);
-    Job.Definition.Repeats = {Repeats.at(0),
-                              WallMillis(Repeats.at(1).get<std::int64_t>()),
-                              Millis(Repeats.at(2).get<std::int64_t>())};
+    Job.Definition.Repeats = {
+        wholeNumber<std::uint32_t>(Repeats.at(0)),
+        WallMillis(wholeNumber(Repeats.at(1), 0, MaxClockMillis)),
+        durationFromJson(Repeats.at(2))};
+    validate(Job.Definition);
     return Job;
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("stored job: ") + Problem.what());
--- a/tests/workload/JobDefinitionTest.cpp
+++ b/tests/workload/JobDefinitionTest.cpp
@@ -1,8 +1,12 @@
 #include "daisyspool/core/Errors.h"
 #include "daisyspool/workload/workload.h"
 
+#include "support/OddValues.h"
+
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace daisyspool;
 using namespace daisyspool::workload;
 
@@ -64,3 +68,41 @@
   REQUIRE(Config.route("h", "/b/") == nullptr);
   REQUIRE(Config.route("none", "/a/") == nullptr);
 }
+
+// Guards against a stored job of another writer that exhausts the stack.
+TEST_CASE("a deeply nested stored job throws ProtocolError") {
+  REQUIRE_THROWS_AS(decodeJob(testing::deepMsgpack()), ProtocolError);
+}
+
+// Guards against a stored job whose numbers wrap when they are read, overflow
+// sums, exhaust the memory or refer to a step that does not exist.
+TEST_CASE("a stored job with a number out of range throws ProtocolError") {
+  JobRecord Job;
+  Job.Id = JobId("5c0e7a21d94b36f8");
+  Job.Policy = {QueueId("q"), ServiceId("s"), 2, 3, 1.5, Millis(250)};
+  Job.Definition.Steps = {StepDefinition{}, StepDefinition{}};
+  Job.Definition.Steps[1].After = {0};
+  Job.Definition.Steps[1].MaxUnavailable = 1;
+  std::string Good = encodeJob(Job);
+  REQUIRE_NOTHROW(decodeJob(Good));
+  for (const char *Path :
+       {"/1", "/2/2", "/2/3", "/2/4", "/2/5", "/4/0/0", "/4/0/1", "/4/0/2",
+        "/4/0/3", "/4/0/4", "/4/0/8", "/4/0/9", "/4/0/11", "/4/1/12",
+        "/4/1/5/0", "/5/0", "/5/1", "/5/2"})
+    for (const nlohmann::json &Odd :
+         {nlohmann::json(-1), nlohmann::json(1e30), nlohmann::json(-1e30),
+          nlohmann::json(std::numeric_limits<double>::quiet_NaN()),
+          nlohmann::json(std::numeric_limits<std::int64_t>::max()),
+          nlohmann::json(std::numeric_limits<std::uint64_t>::max()),
+          nlohmann::json("1"), nlohmann::json(true)}) {
+      INFO(Path << " " << Odd);
+      REQUIRE_THROWS_AS(decodeJob(testing::withElement(Good, Path, Odd)),
+                        ProtocolError);
+    }
+  // Steps that do not exist, or that wait for each other.
+  for (int Odd : {1, 2, 7})
+    REQUIRE_THROWS_AS(decodeJob(testing::withElement(Good, "/4/1/5/0", Odd)),
+                      ProtocolError);
+  REQUIRE_THROWS_AS(decodeJob(testing::withElement(Good, "/4/0/0", 1000000)),
+                    ProtocolError);
+}
