--- a/tests/platform_adapter/DecodeTest.cpp
+++ b/tests/platform_adapter/DecodeTest.cpp
@@ -2,11 +2,24 @@
 #include "WorkerClient.h"
 
 #include "daisyspool/core/Errors.h"
+#include "support/OddValues.h"
 
 #include <catch2/catch.hpp>
 
 using namespace daisyspool;
 using namespace daisyspool::platform;
+using namespace daisyspool::testing;
+
+namespace {
+
+const std::string GoodConfig =
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
+    R"("service":"s","priority":2,"max_attempts":3,"slack_factor":2.0,)"
+    R"("target_latency_ms":1000}],"services":[{"name":"s",)"
+    R"("admission_check":true,"standby":false}],)"
+    R"("limits":{"max_body_bytes":1000}})";
+
+} // namespace
 
 // Guards against a field of a caller's job that is lost or mixed up with
 // another.
@@ -76,3 +89,67 @@
   REQUIRE(Config.MaxBodyBytes == 1000);
   REQUIRE_THROWS_AS(decodeConfig("{}"), ProtocolError);
 }
+
+// Guards against a caller's job that exhausts the stack or the memory.
+TEST_CASE("a deeply nested job throws ProtocolError") {
+  for (const char *Field : {"spec", "unknown"})
+    REQUIRE_THROWS_AS(decodeJobBody(R"({"steps":[{"count":1}],")" +
+                                    std::string(Field) +
+                                    "\":" + deepJson(100000) + "}"),
+                      ProtocolError);
+  REQUIRE_THROWS_AS(
+      decodeJobBody(R"({"steps":[{"after":)" + deepJson(100000) + "}]}"),
+      ProtocolError);
+}
+
+// Guards against a number of a caller's job that wraps when it is read
+// (4294967297 tasks were one task) or overflows sums of the scheduler.
+TEST_CASE("a job with a number out of range throws ProtocolError") {
+  for (const char *Field : {"count", "cpu", "mem_mb", "gpu", "estimated_ms",
+                            "anti_affinity", "target_ms", "may_miss"})
+    for (const char *Odd : {"-1", "1e30", "-1e30", "4611686018427387904",
+                            "18446744073709551617"}) {
+      INFO(Field << " " << Odd);
+      REQUIRE_THROWS_AS(decodeJobBody(R"({"steps":[{"count":1,")" +
+                                      std::string(Field) + "\":" + Odd + "}]}"),
+                        ProtocolError);
+    }
+  for (const char *Body :
+       {R"({"steps":[{"count":4294967297}]})",
+        R"({"steps":[{"count":1},{"after":[4294967296]}]})",
+        R"({"steps":[{"count":1}],"repetitions":4294967297})",
+        R"({"steps":[{"count":1}],"repetitions":4294967295})",
+        R"({"steps":[{"count":5000}],"repetitions":5000})",
+        R"({"steps":[{"count":1}],"first_run_ms":1e30})",
+        R"({"steps":[{"count":1}],"interval_ms":9e18})"}) {
+    INFO(Body);
+    REQUIRE_THROWS_AS(decodeJobBody(Body), ProtocolError);
+  }
+}
+
+// Guards against an operator's row that exhausts the stack of every entry.
+TEST_CASE("a deeply nested configuration throws ProtocolError") {
+  REQUIRE_NOTHROW(decodeConfig(GoodConfig));
+  for (const char *Value :
+       {"[{\"name\":\"s\",\"admission_check\":true,\"standby\":false}]",
+        "\"h\"", "1000}]"})
+    REQUIRE_THROWS_AS(
+        decodeConfig(replaced(GoodConfig, Value, deepJson(100000))),
+        ProtocolError);
+}
+
+// Guards against a policy whose numbers wrap when they are read.
+TEST_CASE("a configuration with a number out of range throws ProtocolError") {
+  for (const char *Field :
+       {"\"version\":7", "\"priority\":2", "\"max_attempts\":3",
+        "\"slack_factor\":2.0", "\"target_latency_ms\":1000",
+        "\"max_body_bytes\":1000"})
+    for (const char *Odd : {"-1", "1e30", "1e400", "18446744073709551615"}) {
+      std::string Name(Field);
+      INFO(Field << " " << Odd);
+      REQUIRE_THROWS_AS(
+          decodeConfig(replaced(GoodConfig, Field,
+                                Name.substr(0, Name.find(':') + 1) + Odd)),
+          ProtocolError);
+    }
+}
