--- a/tests/platform_adapter/DecodeTest.cpp
+++ b/tests/platform_adapter/DecodeTest.cpp
@@ -12,6 +12,13 @@
 
 namespace {
 
+const std::string GoodAnnouncement =
+    R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v",)"
+    R"("slots":8,"state":"ready","cold_remaining_ms":0,)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clock_ms":5,"sequence":4,"born":77,)"
+    R"("remaining_ms":9})";
+
 const std::string GoodConfig =
     R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
     R"("service":"s","priority":2,"max_attempts":3,"slack_factor":2.0,)"
@@ -90,6 +97,71 @@
   REQUIRE_THROWS_AS(decodeConfig("{}"), ProtocolError);
 }
 
+// Guards against a deeply nested announcement of at most 4 MiB, which takes
+// hundreds of megabytes on a machine that has 128 MB.
+TEST_CASE("a deeply nested announcement throws ProtocolError") {
+  REQUIRE_NOTHROW(decodeAnnouncement("i-1", GoodAnnouncement));
+  for (const char *Value : {"\"v\"", "[\"a\",\"r1-3\"]", "8"})
+    REQUIRE_THROWS_AS(
+        decodeAnnouncement("i-1",
+                           replaced(GoodAnnouncement, Value, deepJson(100000))),
+        ProtocolError);
+  REQUIRE_THROWS_AS(decodeAnnouncement("i-1", std::string(1000000, '[')),
+                    ProtocolError);
+}
+
+// Guards against the same with many elements instead of many levels.
+TEST_CASE("an announcement with too many elements throws ProtocolError") {
+  std::string Many = "[0";
+  for (int I = 0; I < 300000; ++I)
+    Many += ",{}";
+  REQUIRE_THROWS_AS(decodeAnnouncement(
+                        "i-1", replaced(GoodAnnouncement, "\"v\"", Many + "]")),
+                    ProtocolError);
+}
+
+// Guards against a number that wraps or is clipped when it is read: the worker
+// gets a capacity that it does not have, and a sequence or life that no later
+// announcement of the true worker exceeds.
+TEST_CASE("an announcement with a number out of range throws ProtocolError") {
+  for (const char *Field :
+       {"\"cpu\":16000", "\"mem_mb\":32768", "\"gpu\":0", "\"clock_ms\":5",
+        "\"sequence\":4", "\"born\":77", "\"remaining_ms\":9", "\"slots\":8"})
+    for (const char *Odd :
+         {"-1", "1e30", "-1e30", "1e400", "9223372036854775807",
+          "18446744073709551615", "18446744073709551616", "true", "\"1\""}) {
+      std::string Name(Field);
+      // These may become negative.
+      if (std::string_view(Odd) == "-1" &&
+          (Name.starts_with("\"remaining_ms") ||
+           Name.starts_with("\"clock_ms")))
+        continue;
+      INFO(Field << " " << Odd);
+      REQUIRE_THROWS_AS(
+          decodeAnnouncement(
+              "i-1", replaced(GoodAnnouncement, Field,
+                              Name.substr(0, Name.find(':') + 1) + Odd)),
+          ProtocolError);
+    }
+}
+
+// Guards against using a worker whose announcement has an address that nothing
+// can be sent to.
+TEST_CASE("an announcement with a port out of range throws ProtocolError") {
+  for (const char *Odd :
+       {"\"10.0.0.1:65536\"", "\"10.0.0.1:0\"", "\"10.0.0.1:-1\"",
+        "\"10.0.0.1:99999999999999999999\"", "\"10.0.0.1:\"", "\"10.0.0.1\"",
+        "\":80\"", "80", "null"}) {
+    INFO(Odd);
+    REQUIRE_THROWS_AS(
+        decodeAnnouncement("i-1",
+                           replaced(GoodAnnouncement, "\"10.0.0.1:1\"", Odd)),
+        ProtocolError);
+  }
+  REQUIRE_NOTHROW(decodeAnnouncement(
+      "i-1", replaced(GoodAnnouncement, "10.0.0.1:1", "10.0.0.1:65535")));
+}
+
 // Guards against a caller's job that exhausts the stack or the memory.
 TEST_CASE("a deeply nested job throws ProtocolError") {
   for (const char *Field : {"spec", "unknown"})
