Read the other rows of a page that has an unreadable one

One row with a value that is not base64, or without a value or version, made the whole page a failed read, which was repeated forever: the table was followed no further.

A row whose value is unreadable is delivered with an empty value and logged with its key. It keeps its name, because the next page is requested from the last key, and every decoder of values rejects an empty one. A row without a readable name or version is logged and left out. Versions out of range are errors.

--- a/include/daisyspool/rows/RowStore.h
+++ b/include/daisyspool/rows/RowStore.h
@@ -25,6 +25,7 @@
 
 struct StoredRow {
   RowName Name;
+  /// Empty if the stored value could not be read.
   std::string Value;
   RowVersion Version;
   /// In a feed: the row was removed.
--- a/tests/platform_adapter/RowStoreClientTest.cpp
+++ b/tests/platform_adapter/RowStoreClientTest.cpp
@@ -3,10 +3,13 @@
 #include "daisyspool/http/Server.h"
 #include "daisyspool/platform/Base64.h"
 
+#include "support/OddValues.h"
+
 #include <catch2/catch.hpp>
 
 using namespace daisyspool;
 using namespace daisyspool::platform;
+using namespace daisyspool::testing;
 
 namespace {
 
@@ -85,3 +88,53 @@
   REQUIRE(std::holds_alternative<rows::HistoryGone>(Store.follow(410, "")));
   REQUIRE(std::holds_alternative<rows::ReadFailed>(Store.follow(200, "{}")));
 }
+
+// Guards against one row that another writer left and that makes the whole page
+// unreadable, so that the table is not followed any more.
+TEST_CASE("an unreadable row does not hide the other rows of its page") {
+  StubStore Store;
+  const std::string Good = R"({"table":"t","part":"p","key":"good",)"
+                           R"("value":"djE=","schema_version":9})";
+  for (const std::string &Odd :
+       {std::string(R"({"table":"t","part":"p","key":"odd","value":"dj",)"
+                    R"("schema_version":8})"),
+        std::string(R"({"table":"t","part":"p","key":"odd","value":8,)"
+                    R"("schema_version":8})"),
+        std::string(R"({"table":"t","part":"p","key":"odd",)"
+                    R"("schema_version":8})")}) {
+    INFO(Odd);
+    auto Page = std::get<rows::RowPage>(Store.follow(
+        200, R"({"rows":[)" + Odd + "," + Good + R"(],"schema_version":9})"));
+    // The key stays known, as the next page is requested from the last key.
+    REQUIRE(Page.Rows.size() == 2);
+    REQUIRE(Page.Rows[0].Name.Key == "odd");
+    REQUIRE(Page.Rows[0].Value.empty());
+    REQUIRE(Page.Rows[1].Value == "v1");
+  }
+  for (const char *Odd :
+       {"8", "null", "[]", R"({"table":"t","key":8,"schema_version":8})",
+        R"({"table":"t","key":"odd","value":"","schema_version":1e30})",
+        R"({"table":"t","key":"odd","value":"","schema_version":-1})"}) {
+    INFO(Odd);
+    auto Page = std::get<rows::RowPage>(
+        Store.follow(200, R"({"rows":[)" + std::string(Odd) + "," + Good +
+                              R"(],"schema_version":9})"));
+    REQUIRE(Page.Rows.size() == 1);
+    REQUIRE(Page.Rows[0].Value == "v1");
+  }
+}
+
+// Guards against a response that exhausts the stack, and against a version that
+// wraps or is clipped, after which changes are missed.
+TEST_CASE("a deeply nested page or a version out of range is a failed read") {
+  StubStore Store;
+  for (const std::string &Body :
+       {R"({"rows":)" + deepJson(100000) + R"(,"schema_version":9})",
+        R"({"x":)" + deepJson(100000) + R"(,"rows":[],"schema_version":9})",
+        std::string(R"({"rows":[],"schema_version":1e30})"),
+        std::string(R"({"rows":[],"schema_version":-1})"),
+        std::string(R"({"rows":[],"schema_version":18446744073709551615})")})
+    REQUIRE(std::holds_alternative<rows::ReadFailed>(Store.follow(200, Body)));
+  REQUIRE(std::holds_alternative<rows::OutcomeUnknown>(
+      Store.commit(200, R"({"schema_version":-1})")));
+}
