Follow a table further after a callback has thrown

If the callback threw, the exception left the handler of the store's response before follow() was called. The event loop logged it and went on, but the watch never asked for changes again: a leader learned of no further job, and an exception during the first read kept it from loading.

The watch logs the failure, delivers the rows singly, so that one row does not hide the others, and follows further.

Before: "a watch goes on after its callback has thrown for a row" failed with the exception of the callback.

--- a/include/daisyspool/rows/TableWatch.h
+++ b/include/daisyspool/rows/TableWatch.h
@@ -15,7 +15,9 @@
 ///
 /// When the store no longer has the history, all rows are read again; a row may
 /// thus be delivered more than once, but never with an older version. Failed
-/// calls are retried until the watch is destroyed.
+/// calls are retried until the watch is destroyed. If the callback throws, the
+/// failure is logged, the rows are delivered again one by one, and the watch
+/// goes on.
 ///
 /// Thread safety: call from the I/O thread only. Destroying the watch ends it.
 class TableWatch {
--- a/src/rows/TableWatch.cpp
+++ b/src/rows/TableWatch.cpp
@@ -3,6 +3,7 @@
 #include "daisyspool/telemetry/Log.h"
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -68,7 +69,7 @@
       return;
 
     Version = *OldestPageVersion;
-    OnRows(std::exchange(ReadRows, {}));
+    deliver(std::exchange(ReadRows, {}));
     if (!Closed)
       follow();
   }
@@ -98,11 +99,35 @@
     onCallSucceeded();
     Version = std::max(Version, Page->Version);
     if (!Page->Rows.empty())
-      OnRows(Page->Rows);
+      deliver(Page->Rows);
     if (!Closed)
       follow();
   }
 
+  /// Neither ends the watch nor loses the other rows if the callback throws for
+  /// one: they are then delivered singly.
+  void deliver(const std::vector<StoredRow> &Rows) {
+    if (tryDeliver(Rows) || Rows.size() < 2)
+      return;
+    for (const StoredRow &Row : Rows)
+      if (!Closed)
+        tryDeliver({Row});
+  }
+
+  bool tryDeliver(const std::vector<StoredRow> &Rows) {
+    try {
+      OnRows(Rows);
+      return true;
+    } catch (const std::exception &Problem) {
+      LogEvent(LogLevel::Error, "rows_not_handled")
+          .with("table", Config.Table)
+          .with("rows", static_cast<std::int64_t>(Rows.size()))
+          .with("first_key", Rows.empty() ? "" : Rows.front().Name.Key)
+          .with("detail", Problem.what());
+      return false;
+    }
+  }
+
   void onCallSucceeded() {
     LastAnswer = Time.now();
     if (std::exchange(Failing, false))
--- a/tests/rows/TableWatchTest.cpp
+++ b/tests/rows/TableWatchTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace daisyspool;
 using namespace daisyspool::rows;
 using namespace daisyspool::testing;
@@ -18,6 +20,8 @@
   StoreConnection Connection{Store, "p", Alive};
   std::map<std::string, std::string> Rows;
   std::size_t Calls = 0;
+  /// The callback throws when it is called with a row of this value.
+  std::string Rejected = "rejected";
   std::unique_ptr<TableWatch> Watch;
 
   void startWatch() {
@@ -25,8 +29,11 @@
         Loop, Loop, Connection, TableWatch::Options{"t", {"a", "b"}},
         [this](const std::vector<StoredRow> &Changed) {
           ++Calls;
-          for (const StoredRow &Row : Changed)
+          for (const StoredRow &Row : Changed) {
+            if (Row.Value == Rejected)
+              throw std::length_error("row rejected");
             Rows[Row.Name.Partition + Row.Name.Key] = Row.Value;
+          }
         });
   }
 
@@ -69,3 +76,21 @@
   REQUIRE(Table.Rows.at("ak") == "1");
   REQUIRE(Table.Loop.now() - Table.Watch->lastAnswer() < Millis(1100));
 }
+
+// Guards against a row whose handling throws and after which the table is never
+// followed again: the leader would learn of no further job.
+TEST_CASE("a watch goes on after its callback has thrown for a row") {
+  Fixture Table;
+  Table.put("a", "k1", "1");
+  Table.put("a", "k2", "rejected");
+  Table.put("a", "k3", "1");
+  Table.startWatch();
+  REQUIRE_NOTHROW(Table.Loop.runFor(Millis(200)));
+  REQUIRE(Table.Rows.size() == 2);
+  Table.put("b", "k4", "rejected");
+  REQUIRE_NOTHROW(Table.Loop.runFor(Millis(200)));
+  Table.put("b", "k5", "1");
+  REQUIRE_NOTHROW(Table.Loop.runFor(Millis(200)));
+  REQUIRE(Table.Rows.count("bk5") == 1);
+  REQUIRE(Table.Rows.count("bk4") == 0);
+}
