Reject odd values in the rows of the leader

A deeply nested fence or leader row overflowed the stack of every entry. An epoch of 2^64 - 1 was accepted; it becomes 0 when it is incremented, and no entry could take over (from the code, not run).

Before: "a deeply nested fence or leader row throws ProtocolError" ended with SIGSEGV, "a number out of range in a leader's row throws ProtocolError" failed for the epoch -1.

--- a/src/leadership/LeaderRecord.cpp
+++ b/src/leadership/LeaderRecord.cpp
@@ -1,6 +1,7 @@
 #include "daisyspool/leadership/LeaderRecord.h"
 
 #include "daisyspool/core/Errors.h"
+#include "daisyspool/wire/Document.h"
 
 #include <nlohmann/json.hpp>
 
@@ -9,6 +10,7 @@
 namespace {
 
 using nlohmann::json;
+using wire::wholeNumber;
 
 json toJson(const LeaderIdentity &Leader) {
   return json::array({Leader.Term.value(), Leader.Process.str(),
@@ -16,9 +18,9 @@
 }
 
 LeaderIdentity identityFromJson(const json &Value) {
-  return {Epoch(Value.at(0).get<std::uint64_t>()),
+  return {Epoch(wholeNumber<std::uint64_t>(Value.at(0))),
           ProcessId(Value.at(1).get<std::string>()),
-          Incarnation(Value.at(2).get<std::uint64_t>())};
+          Incarnation(wholeNumber<std::uint64_t>(Value.at(2)))};
 }
 
 std::string pack(const json &Value) {
@@ -34,8 +36,9 @@
 
 Fence decodeFence(std::string_view Bytes) {
   try {
-    json Value = json::from_msgpack(Bytes.begin(), Bytes.end());
-    return {identityFromJson(Value.at(0)), Value.at(1).get<std::uint64_t>()};
+    json Value = wire::parseMsgpack(Bytes);
+    return {identityFromJson(Value.at(0)),
+            wholeNumber<std::uint64_t>(Value.at(1))};
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("fence row: ") + Problem.what());
   }
@@ -51,13 +54,13 @@
 
 LeaderStatus decodeLeaderStatus(std::string_view Bytes) {
   try {
-    json Value = json::from_msgpack(Bytes.begin(), Bytes.end());
+    json Value = wire::parseMsgpack(Bytes);
     LeaderStatus Status;
     Status.Leader = identityFromJson(Value.at(0));
     Status.Released = Value.at(1);
     for (const json &QueueCount : Value.at(2))
       Status.Pending[workload::QueueId(QueueCount.at(0).get<std::string>())] =
-          QueueCount.at(1);
+          wholeNumber<std::uint32_t>(QueueCount.at(1));
     return Status;
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("leader row: ") + Problem.what());
--- /dev/null
+++ b/tests/leadership/LeaderRecordTest.cpp
@@ -0,0 +1,47 @@
+#include "daisyspool/leadership/LeaderRecord.h"
+#include "daisyspool/core/Errors.h"
+#include "support/OddValues.h"
+
+#include <catch2/catch.hpp>
+
+#include <limits>
+
+using namespace daisyspool;
+using namespace daisyspool::leadership;
+
+namespace {
+
+const LeaderIdentity Identity{Epoch(7), ProcessId("entry1"), Incarnation(99)};
+
+} // namespace
+
+// Guards against a row that exhausts the stack of every entry.
+TEST_CASE("a deeply nested fence or leader row throws ProtocolError") {
+  REQUIRE_THROWS_AS(decodeFence(testing::deepMsgpack()), ProtocolError);
+  REQUIRE_THROWS_AS(decodeLeaderStatus(testing::deepMsgpack()), ProtocolError);
+}
+
+// Guards against an epoch that wraps when it is incremented, after which no
+// process can take over the leadership.
+TEST_CASE("a number out of range in a leader's row throws ProtocolError") {
+  LeaderStatus Status;
+  Status.Leader = Identity;
+  Status.Pending[workload::QueueId("q")] = 5;
+  std::string GoodFence = encode(Fence{Identity, 12});
+  std::string GoodStatus = encode(Status);
+  REQUIRE(decodeFence(GoodFence) == Fence{Identity, 12});
+  REQUIRE(decodeLeaderStatus(GoodStatus).Pending == Status.Pending);
+  for (const nlohmann::json &Odd :
+       {nlohmann::json(-1), nlohmann::json(1e30), nlohmann::json(-1e30),
+        nlohmann::json(std::numeric_limits<std::uint64_t>::max()),
+        nlohmann::json("1"), nlohmann::json(true)}) {
+    INFO(Odd);
+    for (const char *Path : {"/0/0", "/0/2", "/1"})
+      REQUIRE_THROWS_AS(decodeFence(testing::withElement(GoodFence, Path, Odd)),
+                        ProtocolError);
+    for (const char *Path : {"/0/0", "/0/2", "/2/0/1"})
+      REQUIRE_THROWS_AS(
+          decodeLeaderStatus(testing::withElement(GoodStatus, Path, Odd)),
+          ProtocolError);
+  }
+}
