Reject odd stored progress and keep the job unchanged

Deeply nested progress overflowed the stack of the leader, and of the entry that a caller asked for the job's state. Numbers wrapped, and any number stood for a task that never ran or a step that is done. From the code, not run: progress with many more occurrences than the job has would exhaust the memory, and after decoding failed halfway, the job kept tasks that were assigned to no VM and would never start.

decodeProgress() uses the bounded parser, limits the occurrences and changes the job only when everything is decoded. remainingWork() is clamped, as the product of the largest accepted values exceeds 64 bits; smaller values give the same result as before.

Before: "deeply nested stored progress throws ProtocolError" ended with SIGSEGV; "odd stored progress throws and leaves the job unchanged" failed for the status true; "the remaining work of the largest job is clamped" got -.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -106,13 +106,14 @@
 Millis remainingCriticalPath(const JobProgress &Job);
 
 /// The estimated work of the tasks that are not done, in
-/// millicore-milliseconds.
+/// millicore-milliseconds; the largest value if it is more.
 std::int64_t remainingWork(const JobProgress &Job);
 
 /// Serializes the progress, which is stored beside the job's record.
 std::string encodeProgress(const JobProgress &Job);
 
-/// Restores what encodeProgress() wrote. Errors: throws ProtocolError.
+/// Restores what encodeProgress() wrote. Errors: throws ProtocolError and
+/// leaves \p Job unchanged.
 void decodeProgress(JobProgress &Job, std::string_view Bytes);
 
 /// Decodes only the status, for callers' requests. Errors: throws
--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -2,16 +2,19 @@
 
 #include "daisyspool/core/Errors.h"
 #include "daisyspool/wire/Adaptors.h"
+#include "daisyspool/wire/Document.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace daisyspool::scheduling {
 
 namespace {
 
 using nlohmann::json;
+using wire::wholeNumber;
 
 // A task that never ran and a done task are encoded as single numbers, as they
 // are by far the most frequent.
@@ -42,17 +45,17 @@
 TaskProgress taskFromJson(const json &From) {
   TaskProgress Task;
   if (From.is_number()) {
-    if (From == DoneTask)
+    if (wholeNumber(From, NeverRunTask, DoneTask) == DoneTask)
       Task.Phase = TaskPhase::Done;
     return Task;
   }
 
   Task.Phase =
       From.at(0).get<bool>() ? TaskPhase::Assigned : TaskPhase::Waiting;
-  Task.LastRun = RunNumber(From.at(1).get<std::uint64_t>());
-  Task.Failures = From.at(2);
+  Task.LastRun = RunNumber(wholeNumber<std::uint64_t>(From.at(1)));
+  Task.Failures = wholeNumber<std::uint32_t>(From.at(2));
   Task.Vm = VmId(From.at(3).get<std::string>());
-  Task.Life = WorkerLife(From.at(4).get<std::uint64_t>());
+  Task.Life = WorkerLife(wholeNumber<std::uint64_t>(From.at(4)));
   Task.Checkpoint = From.at(5);
   return Task;
 }
@@ -72,6 +75,7 @@
 
 void stepFromJson(StepProgress &Step, const json &From) {
   if (From.is_number()) {
+    wholeNumber(From, DoneTask, DoneTask);
     for (TaskProgress &Task : Step.Tasks)
       Task.Phase = TaskPhase::Done;
   } else {
@@ -84,13 +88,33 @@
       }));
 }
 
-json parse(std::string_view Bytes) {
-  json Whole = json::from_msgpack(Bytes.begin(), Bytes.end());
-  int Status = Whole.at(0);
-  if (Status < 0 || Status >= JobStatusCount)
-    throw ProtocolError("stored progress: unknown job status");
+JobStatus statusFromJson(const json &Whole) {
+  return static_cast<JobStatus>(
+      wholeNumber(Whole.at(0), 0, JobStatusCount - 1));
+}
 
-  return Whole;
+OccurrenceProgress newOccurrence(const JobProgress &Job) {
+  OccurrenceProgress Occurrence;
+  for (const auto &Step : Job.Record.Definition.Steps) {
+    Occurrence.Steps.emplace_back();
+    Occurrence.Steps.back().Tasks.resize(Step.Count);
+  }
+  return Occurrence;
+}
+
+std::size_t maxOccurrences(const JobProgress &Job) {
+  return std::max(1U, Job.Record.Definition.Repeats.Times);
+}
+
+/// A product or sum that is the largest value instead of overflowing.
+/// Precondition: the operands are not negative.
+std::int64_t clampedProduct(std::int64_t A, std::int64_t B) {
+  constexpr auto Max = std::numeric_limits<std::int64_t>::max();
+  return B != 0 && A > Max / B ? Max : A * B;
+}
+std::int64_t clampedSum(std::int64_t A, std::int64_t B) {
+  constexpr auto Max = std::numeric_limits<std::int64_t>::max();
+  return A > Max - B ? Max : A + B;
 }
 
 } // namespace
@@ -106,12 +130,7 @@
 }
 
 void addOccurrence(JobProgress &Job) {
-  OccurrenceProgress Occurrence;
-  for (const auto &Step : Job.Record.Definition.Steps) {
-    Occurrence.Steps.emplace_back();
-    Occurrence.Steps.back().Tasks.resize(Step.Count);
-  }
-  Job.Occurrences.push_back(std::move(Occurrence));
+  Job.Occurrences.push_back(newOccurrence(Job));
   updateDerivedFields(Job);
 }
 
@@ -152,8 +171,7 @@
 }
 
 bool isComplete(const JobProgress &Job) {
-  std::size_t Times = std::max(1U, Job.Record.Definition.Repeats.Times);
-  if (Job.Occurrences.size() < Times)
+  if (Job.Occurrences.size() < maxOccurrences(Job))
     return false;
 
   for (const OccurrenceProgress &Occurrence : Job.Occurrences)
@@ -186,7 +204,10 @@
     for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
       const auto &Step = Job.Record.Definition.Steps[I];
       std::int64_t Unfinished = Step.Count - Occurrence.Steps[I].Done;
-      Sum += Unfinished * Step.Needs.Cpu.value() * Step.Estimate.count();
+      Sum = clampedSum(
+          Sum,
+          clampedProduct(clampedProduct(Unfinished, Step.Needs.Cpu.value()),
+                         Step.Estimate.count()));
     }
 
   return Sum;
@@ -210,17 +231,26 @@
 
 void decodeProgress(JobProgress &Job, std::string_view Bytes) {
   try {
-    json Whole = parse(Bytes);
-    Job.Status = static_cast<JobStatus>(Whole.at(0).get<int>());
-    if (Whole.size() < 2)
+    json Whole = wire::parseMsgpack(Bytes);
+    JobStatus Status = statusFromJson(Whole);
+    if (Whole.size() < 2) {
+      Job.Status = Status;
       return;
+    }
 
-    const json &Occurrences = Whole.at(1);
-    while (Job.Occurrences.size() < Occurrences.size())
-      addOccurrence(Job);
-    for (std::size_t K = 0; K < Occurrences.size(); ++K)
-      for (std::size_t I = 0; I < Job.Occurrences[K].Steps.size(); ++I)
-        stepFromJson(Job.Occurrences[K].Steps[I], Occurrences.at(K).at(I));
+    const json &From = Whole.at(1);
+    if (From.size() > maxOccurrences(Job))
+      throw ProtocolError("stored progress: more occurrences than the job has");
+    // The job is unchanged if this throws: a task that is assigned but not
+    // counted on any VM would never start again.
+    auto Occurrences = Job.Occurrences;
+    while (Occurrences.size() < From.size())
+      Occurrences.push_back(newOccurrence(Job));
+    for (std::size_t K = 0; K < From.size(); ++K)
+      for (std::size_t I = 0; I < Occurrences[K].Steps.size(); ++I)
+        stepFromJson(Occurrences[K].Steps[I], From.at(K).at(I));
+    Job.Status = Status;
+    Job.Occurrences = std::move(Occurrences);
     updateDerivedFields(Job);
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("stored progress: ") + Problem.what());
@@ -229,7 +259,7 @@
 
 JobStatus decodeStatus(std::string_view Bytes) {
   try {
-    return static_cast<JobStatus>(parse(Bytes).at(0).get<int>());
+    return statusFromJson(wire::parseMsgpack(Bytes));
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("stored progress: ") + Problem.what());
   }
