Reject odd values in the stored tail model

A deeply nested model overflowed the stack of a leader that loaded it. A ratio or effect that is infinite or not a number made every later prediction so, and a model that failed halfway was kept in part.

decode() uses the bounded parser and ranges, and changes the model only when everything is decoded.

Before: "an odd stored tail model throws and leaves the model unchanged" ended with SIGSEGV.

--- a/src/scheduling/TailModel.cpp
+++ b/src/scheduling/TailModel.cpp
@@ -2,6 +2,7 @@
 
 #include "daisyspool/core/Errors.h"
 #include "daisyspool/wire/Adaptors.h"
+#include "daisyspool/wire/Document.h"
 
 #include <boost/container_hash/hash.hpp>
 #include <nlohmann/json.hpp>
@@ -58,6 +59,19 @@
 /// as inactive.
 constexpr double MinActivity = 0.05;
 constexpr Millis CleanupInterval{10000};
+/// Limits of a stored model. Its ratios are at most MaxLearnedRatio, its means
+/// logarithms of such ratios, its variances at most the prior ones.
+constexpr double MaxStoredRatio = 100;
+constexpr double MaxStoredMean = 10;
+constexpr double MaxStoredVariance = 1;
+
+double meanFromJson(const nlohmann::json &From) {
+  return wire::realNumber(From, -MaxStoredMean, MaxStoredMean);
+}
+
+double varianceFromJson(const nlohmann::json &From) {
+  return wire::realNumber(From, 0, MaxStoredVariance);
+}
 
 double tailRatio(const Assignment &Run) {
   return static_cast<double>(Run.Load) /
@@ -330,18 +344,28 @@
 void TailModel::decode(std::string_view Bytes, TimePoint Now) {
   using nlohmann::json;
   try {
-    json From = json::from_msgpack(Bytes.begin(), Bytes.end());
+    json From = wire::parseMsgpack(Bytes);
     auto Names = From.at(0).get<std::vector<std::string>>();
+    // The model is unchanged if this throws.
+    auto DecodedServices = Services;
+    auto DecodedImages = BestEffortImages;
     for (const json &Each : From.at(1)) {
-      ServingImage &Service = Services[ImageId(Each.at(0).get<std::string>())];
-      Service.TypicalRatio = Each.at(1);
-      Service.Offset = {Each.at(2), Each.at(3), Now};
+      ServingImage &Service =
+          DecodedServices[ImageId(Each.at(0).get<std::string>())];
+      Service.TypicalRatio = wire::realNumber(Each.at(1), 0, MaxStoredRatio);
+      Service.Offset = {meanFromJson(Each.at(2)), varianceFromJson(Each.at(3)),
+                        Now};
       for (const json &Pair : Each.at(4)) {
-        ImageId Image(Names.at(Pair.at(0).get<std::size_t>()));
-        Service.Effects[Image] = {Pair.at(1), Pair.at(2), Now};
-        BestEffortImages.insert(Image);
+        ImageId Image(Names.at(wire::wholeNumber<std::size_t>(Pair.at(0))));
+        Service.Effects[Image] = {meanFromJson(Pair.at(1)),
+                                  varianceFromJson(Pair.at(2)), Now};
+        DecodedImages.insert(Image);
       }
     }
+    if (DecodedServices.size() > MaxImages || DecodedImages.size() > MaxImages)
+      throw ProtocolError("tail model: too many images");
+    Services = std::move(DecodedServices);
+    BestEffortImages = std::move(DecodedImages);
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("tail model: ") + Problem.what());
   } catch (const std::out_of_range &) {
--- a/tests/scheduling/TailModelTest.cpp
+++ b/tests/scheduling/TailModelTest.cpp
@@ -1,8 +1,12 @@
 #include "daisyspool/scheduling/TailModel.h"
 #include "daisyspool/core/Errors.h"
 
+#include "support/OddValues.h"
+
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 using namespace daisyspool;
 using namespace daisyspool::scheduling;
 using workload::ImageId;
@@ -160,3 +164,27 @@
           Previous.unaffectedImages(ImageId("quiet"), Now));
   REQUIRE_THROWS_AS(Next.decode("?", Now), ProtocolError);
 }
+
+// Guards against a stored model that exhausts the stack, or whose numbers make
+// every later prediction infinite or not a number.
+TEST_CASE("an odd stored tail model throws and leaves the model unchanged") {
+  TailModel Trained;
+  train(Trained);
+  std::string Good = Trained.encode(Now);
+  TailModel Model;
+  REQUIRE_THROWS_AS(Model.decode(testing::deepMsgpack(), Now), ProtocolError);
+  for (const char *Path :
+       {"/1/0/1", "/1/0/2", "/1/0/3", "/1/0/4/0/0", "/1/0/4/0/1", "/1/0/4/0/2"})
+    for (const nlohmann::json &Odd :
+         {nlohmann::json(1e30), nlohmann::json(-1e30),
+          nlohmann::json(std::numeric_limits<double>::quiet_NaN()),
+          nlohmann::json(std::numeric_limits<double>::infinity()),
+          nlohmann::json(std::numeric_limits<std::uint64_t>::max()),
+          nlohmann::json(true)}) {
+      INFO(Path << " " << Odd);
+      REQUIRE_THROWS_AS(
+          Model.decode(testing::withElement(Good, Path, Odd), Now),
+          ProtocolError);
+    }
+  REQUIRE(Model.encode(Now) == TailModel().encode(Now));
+}
