Log an agent's row whose address is invalid

The leader dropped such a row, for example with the port 65536, without a log line, so that the VM was missing without a reason.

--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -202,8 +202,12 @@
   }
   if (auto Vm = intake::agentVmIdFromKey(Row.Name.Key)) {
     auto Agent = http::parseEndpoint(Row.Value);
-    if (!Agent)
+    if (!Agent) {
+      LogEvent(LogLevel::Error, "agent_unreadable")
+          .with("key", Row.Name.Key)
+          .with("detail", "not ADDRESS:PORT with a port from 1 to 65535");
       return;
+    }
     Leadership->Agents[*Vm] = *Agent;
     Leadership->JobScheduler.addVm(*Vm, Time.now());
     if (Leadership->Links)
