--- a/tests/runner/SyncTest.cpp
+++ b/tests/runner/SyncTest.cpp
@@ -1,6 +1,8 @@
 #include "daisyspool/runner/Sync.h"
 #include "daisyspool/core/Errors.h"
 
+#include "support/OddValues.h"
+
 #include <catch2/catch.hpp>
 
 using namespace daisyspool;
@@ -60,3 +62,22 @@
   for (std::size_t I = 0; I < Encoded.size(); ++I)
     REQUIRE_THROWS_AS(decodeSyncReply(Encoded.substr(0, I)), ProtocolError);
 }
+
+// Guards against a sync that exhausts the stack or whose numbers wrap when they
+// are read.
+TEST_CASE("a deeply nested sync or a number out of range throws") {
+  std::string Deep = testing::deepMsgpack();
+  REQUIRE_THROWS_AS(decodeSyncReply(Deep), ProtocolError);
+  REQUIRE_THROWS_AS(decodeSyncRequest("\x92\x02" + Deep), ProtocolError);
+  std::string Good = encode(SyncRequest{});
+  for (const nlohmann::json &Odd :
+       {nlohmann::json(-1), nlohmann::json(1e30), nlohmann::json("1")})
+    REQUIRE_THROWS_AS(
+        decodeSyncRequest(testing::withElement(Good, "/1/0", Odd)),
+        ProtocolError);
+  std::string Reply = encode(SyncReply{});
+  // The newest epoch, the incarnation and the stamp.
+  for (const char *Path : {"/1/1", "/1/2", "/1/3"})
+    REQUIRE_THROWS_AS(decodeSyncReply(testing::withElement(Reply, Path, -1)),
+                      ProtocolError);
+}
