Reject stored rows with text that is not UTF-8

MessagePack text is not checked by the parser. An agent cannot send such text to its worker, as dump() throws for it: from the code, not run, a job with such a spec would fail on one VM after the other.

Before: "a stored job with text that is not UTF-8 throws ProtocolError" failed, as nothing was thrown.

--- a/include/daisyspool/wire/Document.h
+++ b/include/daisyspool/wire/Document.h
@@ -25,7 +25,8 @@
   std::size_t MaxElements = 200000;
 };
 
-/// Parse a whole document, without recursion beyond the maximum depth.
+/// Parse a whole document, without recursion beyond the maximum depth. Its text
+/// is UTF-8, as a JSON message that is made of it requires.
 ///
 /// Thread safety: safe from any thread. Errors: throw ProtocolError if the
 /// bytes are malformed or exceed \p Limits.
--- a/src/wire/Document.cpp
+++ b/src/wire/Document.cpp
@@ -10,6 +10,46 @@
 
 using nlohmann::json;
 
+/// Whether \p Text is UTF-8 as of RFC 3629.
+bool isUtf8(std::string_view Text) {
+  auto Byte = [&Text](std::size_t I) -> unsigned {
+    return I < Text.size() ? static_cast<unsigned char>(Text[I]) : 0U;
+  };
+  for (std::size_t I = 0; I < Text.size();) {
+    unsigned Lead = Byte(I);
+    // The range of the second byte excludes overlong forms, surrogates and
+    // values above U+10FFFF.
+    unsigned Low = 0x80;
+    unsigned High = 0xBF;
+    std::size_t Length = 0;
+    if (Lead < 0x80) {
+      ++I;
+      continue;
+    }
+    if (Lead >= 0xC2 && Lead <= 0xDF) {
+      Length = 2;
+    } else if (Lead >= 0xE0 && Lead <= 0xEF) {
+      Length = 3;
+      Low = Lead == 0xE0 ? 0xA0 : Low;
+      High = Lead == 0xED ? 0x9F : High;
+    } else if (Lead >= 0xF0 && Lead <= 0xF4) {
+      Length = 4;
+      Low = Lead == 0xF0 ? 0x90 : Low;
+      High = Lead == 0xF4 ? 0x8F : High;
+    } else {
+      return false;
+    }
+    if (Byte(I + 1) < Low || Byte(I + 1) > High)
+      return false;
+    for (std::size_t K = 2; K < Length; ++K)
+      if (Byte(I + K) < 0x80 || Byte(I + K) > 0xBF)
+        return false;
+    I += Length;
+  }
+
+  return true;
+}
+
 /// Builds a document from the events of a parser and stops the parser at the
 /// first value beyond the limits; the parser itself has none.
 class BoundedBuilder final : public json::json_sax_t {
@@ -23,11 +63,15 @@
   bool number_float(double Value, const std::string &) override {
     return add(Value);
   }
-  bool string(std::string &Value) override { return add(std::move(Value)); }
+  bool string(std::string &Value) override {
+    return requireUtf8(Value) && add(std::move(Value));
+  }
   bool binary(json::binary_t &Value) override { return add(std::move(Value)); }
   bool start_object(std::size_t) override { return open(json::object()); }
   bool start_array(std::size_t) override { return open(json::array()); }
   bool key(std::string &Name) override {
+    if (!requireUtf8(Name))
+      return false;
     Key = std::move(Name);
     return true;
   }
@@ -43,6 +87,14 @@
   std::string Problem;
 
 private:
+  /// The JSON parser checks text itself, the MessagePack parser does not.
+  bool requireUtf8(const std::string &Text) {
+    if (isUtf8(Text))
+      return true;
+    Problem = "text that is not UTF-8";
+    return false;
+  }
+
   bool add(json Value) { return append(std::move(Value)) != nullptr; }
 
   bool open(json Empty) {
--- a/tests/workload/JobDefinitionTest.cpp
+++ b/tests/workload/JobDefinitionTest.cpp
@@ -106,3 +106,21 @@
   REQUIRE_THROWS_AS(decodeJob(testing::withElement(Good, "/4/0/0", 1000000)),
                     ProtocolError);
 }
+
+// Guards against text that an agent cannot send to its worker as JSON: each VM
+// on which the job is placed would fail in turn.
+TEST_CASE("a stored job with text that is not UTF-8 throws ProtocolError") {
+  JobRecord Job;
+  Job.Id = JobId("5c0e7a21d94b36f8");
+  Job.Definition.Steps = {StepDefinition{}};
+  // Every length of a sequence, and the ends of the excluded ranges.
+  Job.Definition.Spec = "a\u00e9\u20ac\U0001F600\uD7FF\uE000\U0010FFFF";
+  REQUIRE(decodeJob(encodeJob(Job)).Definition.Spec == Job.Definition.Spec);
+  for (const char *Odd :
+       {"\xff", "a\x80", "\xc3", "\xc3(", "\xe2\x82", "\xc0\xaf",
+        "\xe0\x80\xaf", "\xed\xa0\x80", "\xf0\x80\x80\xaf", "\xf4\x90\x80\x80",
+        "\xf5\x80\x80\x80"}) {
+    Job.Definition.Spec = Odd;
+    REQUIRE_THROWS_AS(decodeJob(encodeJob(Job)), ProtocolError);
+  }
+}
