--- a/tests/platform_adapter/DecodeTest.cpp
+++ b/tests/platform_adapter/DecodeTest.cpp
@@ -225,3 +225,14 @@
           ProtocolError);
     }
 }
+
+// Guards against a time of start that no true worker on the VM exceeds.
+TEST_CASE("an announcement from the distant future throws ProtocolError") {
+  REQUIRE_NOTHROW(
+      decodeAnnouncement("i-1", replaced(GoodAnnouncement, "\"born\":77",
+                                         "\"born\":1796457600000")));
+  REQUIRE_THROWS_AS(
+      decodeAnnouncement("i-1", replaced(GoodAnnouncement, "\"born\":77",
+                                         "\"born\":9999999999999")),
+      ProtocolError);
+}
