--- a/tests/platform_adapter/DecodeTest.cpp
+++ b/tests/platform_adapter/DecodeTest.cpp
@@ -2,11 +2,31 @@
 #include "WorkerClient.h"
 
 #include "daisyspool/core/Errors.h"
+#include "support/OddValues.h"
 
 #include <catch2/catch.hpp>
 
 using namespace daisyspool;
 using namespace daisyspool::platform;
+using namespace daisyspool::testing;
+
+namespace {
+
+const std::string GoodAnnouncement =
+    R"({"service":"s","address":"10.0.0.1:1","zone":"z","version":"v",)"
+    R"("slots":8,"state":"ready","cold_remaining_ms":0,)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clock_ms":5,"sequence":4,"born":77,)"
+    R"("remaining_ms":9})";
+
+const std::string GoodConfig =
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
+    R"("service":"s","priority":2,"max_attempts":3,"slack_factor":2.0,)"
+    R"("target_latency_ms":1000}],"services":[{"name":"s",)"
+    R"("admission_check":true,"standby":false}],)"
+    R"("limits":{"max_body_bytes":1000}})";
+
+} // namespace
 
 // Guards against a field of a caller's job that is lost or mixed up with
 // another.
@@ -76,3 +96,143 @@
   REQUIRE(Config.MaxBodyBytes == 1000);
   REQUIRE_THROWS_AS(decodeConfig("{}"), ProtocolError);
 }
+
+// Guards against a deeply nested announcement of at most 4 MiB, which takes
+// hundreds of megabytes on a machine that has 128 MB.
+TEST_CASE("a deeply nested announcement throws ProtocolError") {
+  REQUIRE_NOTHROW(decodeAnnouncement("i-1", GoodAnnouncement));
+  for (const char *Value : {"\"v\"", "[\"a\",\"r1-3\"]", "8"})
+    REQUIRE_THROWS_AS(
+        decodeAnnouncement("i-1",
+                           replaced(GoodAnnouncement, Value, deepJson(100000))),
+        ProtocolError);
+  REQUIRE_THROWS_AS(decodeAnnouncement("i-1", std::string(1000000, '[')),
+                    ProtocolError);
+}
+
+// Guards against the same with many elements instead of many levels.
+TEST_CASE("an announcement with too many elements throws ProtocolError") {
+  std::string Many = "[0";
+  for (int I = 0; I < 300000; ++I)
+    Many += ",{}";
+  REQUIRE_THROWS_AS(decodeAnnouncement(
+                        "i-1", replaced(GoodAnnouncement, "\"v\"", Many + "]")),
+                    ProtocolError);
+}
+
+// Guards against a number that wraps or is clipped when it is read: the worker
+// gets a capacity that it does not have, and a sequence or life that no later
+// announcement of the true worker exceeds.
+TEST_CASE("an announcement with a number out of range throws ProtocolError") {
+  for (const char *Field :
+       {"\"cpu\":16000", "\"mem_mb\":32768", "\"gpu\":0", "\"clock_ms\":5",
+        "\"sequence\":4", "\"born\":77", "\"remaining_ms\":9", "\"slots\":8"})
+    for (const char *Odd :
+         {"-1", "1e30", "-1e30", "1e400", "9223372036854775807",
+          "18446744073709551615", "18446744073709551616", "true", "\"1\""}) {
+      std::string Name(Field);
+      // These may become negative.
+      if (std::string_view(Odd) == "-1" &&
+          (Name.starts_with("\"remaining_ms") ||
+           Name.starts_with("\"clock_ms")))
+        continue;
+      INFO(Field << " " << Odd);
+      REQUIRE_THROWS_AS(
+          decodeAnnouncement(
+              "i-1", replaced(GoodAnnouncement, Field,
+                              Name.substr(0, Name.find(':') + 1) + Odd)),
+          ProtocolError);
+    }
+}
+
+// Guards against using a worker whose announcement has an address that nothing
+// can be sent to.
+TEST_CASE("an announcement with a port out of range throws ProtocolError") {
+  for (const char *Odd :
+       {"\"10.0.0.1:65536\"", "\"10.0.0.1:0\"", "\"10.0.0.1:-1\"",
+        "\"10.0.0.1:99999999999999999999\"", "\"10.0.0.1:\"", "\"10.0.0.1\"",
+        "\":80\"", "80", "null"}) {
+    INFO(Odd);
+    REQUIRE_THROWS_AS(
+        decodeAnnouncement("i-1",
+                           replaced(GoodAnnouncement, "\"10.0.0.1:1\"", Odd)),
+        ProtocolError);
+  }
+  REQUIRE_NOTHROW(decodeAnnouncement(
+      "i-1", replaced(GoodAnnouncement, "10.0.0.1:1", "10.0.0.1:65535")));
+}
+
+// Guards against a caller's job that exhausts the stack or the memory.
+TEST_CASE("a deeply nested job throws ProtocolError") {
+  for (const char *Field : {"spec", "unknown"})
+    REQUIRE_THROWS_AS(decodeJobBody(R"({"steps":[{"count":1}],")" +
+                                    std::string(Field) +
+                                    "\":" + deepJson(100000) + "}"),
+                      ProtocolError);
+  REQUIRE_THROWS_AS(
+      decodeJobBody(R"({"steps":[{"after":)" + deepJson(100000) + "}]}"),
+      ProtocolError);
+}
+
+// Guards against a number of a caller's job that wraps when it is read
+// (4294967297 tasks were one task) or overflows sums of the scheduler.
+TEST_CASE("a job with a number out of range throws ProtocolError") {
+  for (const char *Field : {"count", "cpu", "mem_mb", "gpu", "estimated_ms",
+                            "anti_affinity", "target_ms", "may_miss"})
+    for (const char *Odd : {"-1", "1e30", "-1e30", "4611686018427387904",
+                            "18446744073709551617"}) {
+      INFO(Field << " " << Odd);
+      REQUIRE_THROWS_AS(decodeJobBody(R"({"steps":[{"count":1,")" +
+                                      std::string(Field) + "\":" + Odd + "}]}"),
+                        ProtocolError);
+    }
+  for (const char *Body :
+       {R"({"steps":[{"count":4294967297}]})",
+        R"({"steps":[{"count":1},{"after":[4294967296]}]})",
+        R"({"steps":[{"count":1}],"repetitions":4294967297})",
+        R"({"steps":[{"count":1}],"repetitions":4294967295})",
+        R"({"steps":[{"count":5000}],"repetitions":5000})",
+        R"({"steps":[{"count":1}],"first_run_ms":1e30})",
+        R"({"steps":[{"count":1}],"interval_ms":9e18})"}) {
+    INFO(Body);
+    REQUIRE_THROWS_AS(decodeJobBody(Body), ProtocolError);
+  }
+}
+
+// Guards against an operator's row that exhausts the stack of every entry.
+TEST_CASE("a deeply nested configuration throws ProtocolError") {
+  REQUIRE_NOTHROW(decodeConfig(GoodConfig));
+  for (const char *Value :
+       {"[{\"name\":\"s\",\"admission_check\":true,\"standby\":false}]",
+        "\"h\"", "1000}]"})
+    REQUIRE_THROWS_AS(
+        decodeConfig(replaced(GoodConfig, Value, deepJson(100000))),
+        ProtocolError);
+}
+
+// Guards against a policy whose numbers wrap when they are read.
+TEST_CASE("a configuration with a number out of range throws ProtocolError") {
+  for (const char *Field :
+       {"\"version\":7", "\"priority\":2", "\"max_attempts\":3",
+        "\"slack_factor\":2.0", "\"target_latency_ms\":1000",
+        "\"max_body_bytes\":1000"})
+    for (const char *Odd : {"-1", "1e30", "1e400", "18446744073709551615"}) {
+      std::string Name(Field);
+      INFO(Field << " " << Odd);
+      REQUIRE_THROWS_AS(
+          decodeConfig(replaced(GoodConfig, Field,
+                                Name.substr(0, Name.find(':') + 1) + Odd)),
+          ProtocolError);
+    }
+}
+
+// Guards against a time of start that no true worker on the VM exceeds.
+TEST_CASE("an announcement from the distant future throws ProtocolError") {
+  REQUIRE_NOTHROW(
+      decodeAnnouncement("i-1", replaced(GoodAnnouncement, "\"born\":77",
+                                         "\"born\":1796457600000")));
+  REQUIRE_THROWS_AS(
+      decodeAnnouncement("i-1", replaced(GoodAnnouncement, "\"born\":77",
+                                         "\"born\":9999999999999")),
+      ProtocolError);
+}
