Look for the leader's status under its own key only

Cause: the newest row of the leader table was taken for the status, whatever its key. A row of another writer hid the status and, since a takeover requires the version of the status row, would have prevented each takeover.

--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -31,13 +31,17 @@
 void LeaderDuty::onStatusRows(const std::vector<rows::StoredRow> &Rows) {
   StatusKnown = true;
   StatusChangedAt = Time.now();
-  if (!Rows.empty() && Rows.back().Version != StatusVersion) {
-    StatusVersion = Rows.back().Version;
-    StatusReceivedAt = Time.now();
-  }
-  if (!Rows.empty()) {
+  // Another writer may have left a row in the table.
+  auto Newest = std::find_if(Rows.rbegin(), Rows.rend(), [](const auto &Row) {
+    return Row.Name == intake::leaderRow();
+  });
+  if (Newest != Rows.rend()) {
+    if (Newest->Version != StatusVersion) {
+      StatusVersion = Newest->Version;
+      StatusReceivedAt = Time.now();
+    }
     try {
-      LeaderStatus Next = decodeLeaderStatus(Rows.back().Value);
+      LeaderStatus Next = decodeLeaderStatus(Newest->Value);
       if (Next.Leader != Status.Leader)
         LogEvent(LogLevel::Info, "leader_seen")
             .with("epoch", Next.Leader.Term)
