Take a worker's life from its listing, not from the order of the numbers

Callers saw: tasks that the agent reports as running, for good, on a worker that does not run them.

Cause: lives of a worker are numbered by the time of day of their start, and the agent ignored the listings of a lower number as late answers of an earlier life. After a step of the clock a new life may have the lower number. The agent then kept the runs of the former life; with a new id it was answered by 421 for good.

Change: holds follow each other, so a listing whose hold was sent in the known life shows the current one, whatever its number. An announcement of a life that has ended is ignored by its identity, and after a 421 the next hold asks for whichever life is there, without a lease and without dropping ends.

Evidence: "tasks run again on a worker that restarts with its clock set back" failed before (0 of 2 running after 6 s) and passes with the same and with a new id. The virtual worker now answers a hold for another id by 421.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace daisyspool::runner {
@@ -134,6 +135,12 @@
   std::optional<WorkerReport> Worker;
   /// The worker's newest known life; 0 while none is known.
   WorkerLife Life;
+  TimePoint LifeSince{};
+  /// Lives that have ended; a delayed announcement may still name one.
+  std::set<WorkerLife> EndedLives;
+  /// The worker at the address has another id than expected, so the next hold
+  /// asks for whichever life is there.
+  bool AnyLifeAnswers = false;
   /// Whether the worker has listed its runs in this life.
   bool HasListing = false;
   SequenceNumber Sequence;
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -17,6 +17,9 @@
 /// How far ahead a worker's lease is extended. Short, as the runs of an
 /// unreachable worker start elsewhere only after the lease has expired.
 constexpr Millis LeaseLength{2500};
+/// Number of ended lives that are remembered; an announcement is delayed by
+/// seconds, in which a worker restarts a few times at the most.
+constexpr std::size_t MaxRememberedLives = 32;
 /// Minimum remaining lease for which a run is started.
 constexpr Millis MinStartLease{300};
 
@@ -47,7 +50,10 @@
 AgentSession::~AgentSession() = default;
 
 void AgentSession::announce(const WorkerAnnouncement &Announcement) {
-  bool OldLife = Announcement.Worker.Life < Life;
+  // After a step of the clock a new life may have the lower number. It is
+  // accepted from the worker's own listing, which cannot be delayed.
+  bool OldLife = Announcement.Worker.Life < Life ||
+                 EndedLives.count(Announcement.Worker.Life) != 0;
   bool OldSequence = Worker && Announcement.Worker.Life == Worker->Life &&
                      Announcement.Sequence <= Sequence;
   if (OldLife || OldSequence) {
@@ -93,7 +99,13 @@
   // A new agent process assumes that its orders are for the first life that it
   // learns of; attemptStart() compares the two after the first listing.
   bool WasKnown = Life != WorkerLife{};
+  if (WasKnown)
+    EndedLives.insert(Life);
+  if (EndedLives.size() > MaxRememberedLives)
+    EndedLives.erase(EndedLives.begin());
+  EndedLives.erase(NewLife);
   Life = NewLife;
+  LifeSince = Time.now();
   HasListing = false;
   Lease.reset();
   Running.clear();
@@ -210,7 +222,7 @@
   Request.Wait = WorkerSilent ? Millis(0) : HoldWait;
   TimePoint SentAt = Time.now();
   bool Waited = Request.Wait > Millis(0);
-  Port.hold(Token, workerId(), Request,
+  Port.hold(Token, AnyLifeAnswers ? TargetId() : workerId(), Request,
             [this, SentAt, Waited](const HoldOutcome &Outcome) {
               onHoldOutcome(Outcome, SentAt, Waited);
             });
@@ -226,6 +238,7 @@
   if (Closed)
     return;
   if (const auto *Listing = std::get_if<WorkerListing>(&Outcome)) {
+    AnyLifeAnswers = false;
     applyListing(*Listing, SentAt);
     // A worker answers at once while it has ends that are not recorded; the
     // next hold is sent when they are recorded, or after a delay.
@@ -233,6 +246,7 @@
     return scheduleHold(AnsweredAtOnce || !Ended.empty() ? HoldPause
                                                          : Millis(0));
   }
+  AnyLifeAnswers = std::holds_alternative<OtherLife>(Outcome);
   if (std::holds_alternative<FencedOut>(Outcome))
     raiseToken();
   else if (!WorkerSilent) {
@@ -249,9 +263,11 @@
 
 void AgentSession::applyListing(const WorkerListing &Listing,
                                 TimePoint SentAt) {
-  if (Listing.Life < Life)
+  // Holds follow each other, so one that was sent in this life shows which life
+  // is the current one, whatever the numbers say.
+  if (Listing.Life != Life && SentAt <= LifeSince)
     return;
-  if (Listing.Life > Life) {
+  if (Listing.Life != Life) {
     beginLife(Listing.Life);
     reportChange();
   }
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -101,6 +101,29 @@
   requireNoViolations(Fleet);
 }
 
+// Guards against a worker's new life that is taken for an old one as its clock
+// was set back: the agent would report the runs of the former life for good.
+TEST_CASE("tasks run again on a worker that restarts with its clock set back") {
+  for (bool KeepsId : {true, false}) {
+    INFO("keeps its id: " << KeepsId);
+    VirtualFleet Fleet(15, 3, 1);
+    Fleet.Workers[0]->KeepsId = KeepsId;
+    Fleet.Loop.runFor(Millis(3000));
+    auto Job = chainJob("lasting", 1, 2);
+    Job.Definition.Steps[0].LongRunning = true;
+    Fleet.submit(0, Job, Millis(500));
+    Fleet.Loop.runFor(Millis(1000));
+    REQUIRE(Fleet.Invariants.runningCount() == 2);
+    Fleet.Workers[0]->ClockError = std::chrono::milliseconds(-60000);
+    Fleet.Workers[0]->crash();
+    Fleet.Loop.runFor(Millis(300));
+    Fleet.Workers[0]->reboot();
+    Fleet.Loop.runFor(Millis(6000));
+    REQUIRE(Fleet.Invariants.runningCount() == 2);
+    requireNoViolations(Fleet);
+  }
+}
+
 // Guards against giving up running tasks during a store outage of 4.5 s, and
 // against confirming jobs that are not stored.
 TEST_CASE("running tasks survive an outage of the store") {
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -47,12 +47,12 @@
     sendOrder<runner::OrderOutcome>(
         [] { return runner::OrderOutcome(runner::Done{}); }, std::move(Done));
   }
-  void hold(runner::FencingToken Token, const TargetId &,
+  void hold(runner::FencingToken Token, const TargetId &ExpectedId,
             const runner::HoldRequest &Request,
             std::function<void(runner::HoldOutcome)> Done) override {
     // Polls every 20 ms until a run ends.
     auto EndCountBefore = std::make_shared<std::size_t>(Worker.endCount());
-    waitForEnd(Loop, Worker, Alive, Token, Request, EndCountBefore,
+    waitForEnd(Loop, Worker, Alive, Token, ExpectedId, Request, EndCountBefore,
                Worker.life(), Loop.now() + Request.Wait, Done);
   }
 
@@ -62,6 +62,7 @@
 
   static void waitForEnd(VirtualLoop &Loop, VirtualWorker &Worker,
                          const AliveFlag &Alive, runner::FencingToken Token,
+                         const TargetId &ExpectedId,
                          const runner::HoldRequest &Request,
                          const std::shared_ptr<std::size_t> &EndCountBefore,
                          runner::WorkerLife ReceivedIn, TimePoint End,
@@ -74,10 +75,10 @@
       });
       return;
     }
-    auto Result = Worker.hold(Token, Request);
+    auto Result = Worker.hold(Token, ExpectedId, Request);
     bool AnswersNow = Loop.now() >= End ||
                       Worker.endCount() != *EndCountBefore ||
-                      std::holds_alternative<runner::FencedOut>(Result);
+                      !std::holds_alternative<runner::WorkerListing>(Result);
     if (AnswersNow && Worker.losesAnswer()) {
       Loop.after(NoAnswerAfter, [Alive, Done] {
         if (*Alive)
@@ -86,10 +87,10 @@
       return;
     }
     if (!AnswersNow) {
-      Loop.after(Millis(20), [&Loop, &Worker, Alive, Token, Request,
+      Loop.after(Millis(20), [&Loop, &Worker, Alive, Token, ExpectedId, Request,
                               EndCountBefore, ReceivedIn, End, Done] {
-        waitForEnd(Loop, Worker, Alive, Token, Request, EndCountBefore,
-                   ReceivedIn, End, Done);
+        waitForEnd(Loop, Worker, Alive, Token, ExpectedId, Request,
+                   EndCountBefore, ReceivedIn, End, Done);
       });
       return;
     }
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -41,6 +41,8 @@
   double LostAnswerShare = 0;
   /// A rebooted worker has the id of its earlier life.
   bool KeepsId = false;
+  /// Error of the clock from which a new life takes its number.
+  std::chrono::milliseconds ClockError{0};
 
   runner::WorkerLife life() const { return CurrentLife; }
   bool up() const { return !Down; }
@@ -118,7 +120,10 @@
   }
 
   runner::HoldOutcome hold(runner::FencingToken Token,
+                           const TargetId &ExpectedId,
                            const runner::HoldRequest &Request) {
+    if (!ExpectedId.empty() && ExpectedId != id())
+      return runner::OtherLife{};
     expire();
     if (Token < HighestToken)
       return runner::FencedOut{};
@@ -164,8 +169,8 @@
   };
 
   void startLife() {
-    CurrentLife =
-        runner::WorkerLife(static_cast<std::uint64_t>(Loop.wallNow().count()));
+    CurrentLife = runner::WorkerLife(
+        static_cast<std::uint64_t>((Loop.wallNow() + ClockError).count()));
     ClockStart = Loop.now();
     LastEnd = 0;
     AnnouncementCount = 0;
