Carry out a stop that overlaps a declined start, and repeat it

Callers saw: a task that stays down, or a cancelled run that goes on: the stop was lost within the agent, which lists it as pending, so the leader waits.

Cause: the outcome of a start that was declined as old ignored a stop that had arrived meanwhile, and no timer was set for it. A stop that the worker accepted was never sent again, although the run was still listed after the time that a stop may take.

Evidence: "a stop during a start that is declined as old is carried out" and "a stop is repeated while the worker lists the run" failed before.

--- a/src/runner/AgentOrders.cpp
+++ b/src/runner/AgentOrders.cpp
@@ -141,6 +141,8 @@
                           // has ended or never ran.
                           if (Refusal.Reason != RefusalReason::Old)
                             return refuse(Name, Refusal.Reason);
+                          if (Start.StopWanted)
+                            return attemptStop(Name);
                           Start.StartAccepted = true;
                           Start.DeclinedAsOld = true;
                           Start.AcceptedAt = Time.now();
@@ -243,6 +245,7 @@
 /// it was requested after the worker accepted the order.
 void AgentSession::removeSettledOrders(TimePoint SentAt) {
   std::vector<RunName> Settled;
+  std::vector<RunName> ToStopAgain;
   std::vector<std::pair<RunName, RefusalReason>> ToRefuse;
   for (const auto &[Name, Order] : Orders) {
     if (hasEnded(Name)) {
@@ -254,6 +257,8 @@
                              SentAt > Order->AcceptedAt + Config.StopTimeout;
       if (StopTimeoutOver && !isListed(Name))
         ToRefuse.emplace_back(Name, RefusalReason::Cancelled);
+      else if (StopTimeoutOver)
+        ToStopAgain.push_back(Name);
       continue;
     }
     if (!Order->StartAccepted || SentAt <= Order->AcceptedAt)
@@ -267,6 +272,10 @@
     Orders.erase(Name);
   for (const auto &[Name, Reason] : ToRefuse)
     refuse(Name, Reason);
+  for (const RunName &Name : ToStopAgain) {
+    Orders.at(Name)->StopAccepted = false;
+    attemptStop(Name);
+  }
 }
 
 void AgentSession::startWaitingOrders() {
