Refuse a run only after a stop if an earlier start may still arrive

Callers saw: nothing yet; two runs of one task are possible.

Cause: an agent reported a run as refused, which means that it never starts, without a stop in two cases. A repetition was declined (no room, 400) although the first start got no answer and may be carried out seconds later. And a new agent process refused a start that the process before it may have sent.

Change: an order knows whether the worker may still carry out a start for it; then a stop rules the run out first, and the reason of the refusal is reported after it. For a new agent process that holds for as long as the lease that a start carries.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -94,6 +94,8 @@
   void addStop(const RunName &Name);
   void attemptStart(const RunName &Name);
   void onStartOutcome(const RunName &Name, const StartOutcome &Outcome);
+  /// Refuses a start, after a stop if the worker may still carry it out.
+  void giveUpStart(const RunName &Name, RefusalReason Reason);
   void attemptStop(const RunName &Name);
   void onStopOutcome(const RunName &Name, const OrderOutcome &Outcome);
   void retryLater(const RunName &Name, Millis Delay);
@@ -145,6 +147,8 @@
   bool HasListing = false;
   SequenceNumber Sequence;
   LeaseClock Lease;
+  /// Orders of earlier agent processes have no effect after that.
+  TimePoint EarlierOrdersEnd;
   TimePoint GrantEnd{};
   /// No lease that was sent to the worker so far ends later.
   TimePoint LeaseBound{};
--- a/src/runner/AgentOrder.h
+++ b/src/runner/AgentOrder.h
@@ -26,8 +26,12 @@
   /// A start that the worker has not accepted by then is ruled out by a stop.
   TimePoint StartDeadline{};
   int BusyAnswers = 0;
-  /// Starts without an answer, which the worker may still carry out.
   int UnansweredStarts = 0;
+  /// The worker may still carry out a start that got no answer, from this agent
+  /// process or an earlier one. The run is refused only after a stop.
+  bool MayStartLate = false;
+  /// Reported once a stop has ruled the run out.
+  RefusalReason ReasonAfterStop = RefusalReason::Cancelled;
   bool StopWanted = false;
   bool StopAccepted = false;
   bool InFlight = false;
--- a/src/runner/AgentOrders.cpp
+++ b/src/runner/AgentOrders.cpp
@@ -67,6 +67,7 @@
   auto Created = std::make_shared<Order>(Loop);
   Created->Definition = Start;
   Created->HasStart = true;
+  Created->MayStartLate = Time.now() < EarlierOrdersEnd;
   Created->StartDeadline = std::min(Time.now() + StartTimeout, ValidUntil);
   Orders.emplace(Start.Name, std::move(Created));
   // Before the first listing the run may already be on the worker, started by
@@ -93,20 +94,15 @@
     return attemptStop(Name);
 
   bool Leaving = Start.Definition.Life != Life || (Worker && Worker->Draining);
-  if (Leaving && Start.UnansweredStarts == 0)
-    return refuse(Name, RefusalReason::Leaving);
 
   auto LeaseEnd = grantedLease();
   bool Overdue = Time.now() > Start.StartDeadline;
   // A new agent process gets its first grant with the second sync.
   if (!LeaseEnd && !Overdue && !Leaving)
     return retryLater(Name, OrderPause);
-  if (!LeaseEnd || Overdue || Leaving) {
-    if (Start.UnansweredStarts == 0)
-      return refuse(Name, RefusalReason::Late);
-    Start.StopWanted = true;
-    return attemptStop(Name);
-  }
+  if (!LeaseEnd || Overdue || Leaving)
+    return giveUpStart(Name,
+                       Leaving ? RefusalReason::Leaving : RefusalReason::Late);
   Start.InFlight = true;
   Port.start(
       Token, workerId(),
@@ -140,7 +136,7 @@
                           // so the order stays until a listing shows whether it
                           // has ended or never ran.
                           if (Refusal.Reason != RefusalReason::Old)
-                            return refuse(Name, Refusal.Reason);
+                            return giveUpStart(Name, Refusal.Reason);
                           if (Start.StopWanted)
                             return attemptStop(Name);
                           Start.StartAccepted = true;
@@ -150,16 +146,14 @@
                         [&](const WorkerBusy &) {
                           if (++Start.BusyAnswers < MaxBusyAnswers)
                             return retryLater(Name, OrderPause);
-                          if (Start.UnansweredStarts == 0)
-                            return refuse(Name, RefusalReason::Unhealthy);
-                          Start.StopWanted = true;
-                          attemptStop(Name);
+                          giveUpStart(Name, RefusalReason::Unhealthy);
                         },
                         [&](const OtherLife &) {
                           refuse(Name, RefusalReason::Leaving);
                         },
                         [&](const NoWorkerAnswer &Failure) {
                           ++Start.UnansweredStarts;
+                          Start.MayStartLate = true;
                           LogEvent(LogLevel::Info, "start_unanswered")
                               .with("task", workload::toString(Name.Task))
                               .with("run", Name.Run)
@@ -170,6 +164,15 @@
              Outcome);
 }
 
+void AgentSession::giveUpStart(const RunName &Name, RefusalReason Reason) {
+  Order &Start = *Orders.at(Name);
+  if (!Start.MayStartLate)
+    return refuse(Name, Reason);
+  Start.ReasonAfterStop = Reason;
+  Start.StopWanted = true;
+  attemptStop(Name);
+}
+
 void AgentSession::attemptStop(const RunName &Name) {
   auto Found = Orders.find(Name);
   if (Found == Orders.end() || Found->second->InFlight || Closed)
@@ -256,7 +259,7 @@
       bool StopTimeoutOver = Order->StopAccepted &&
                              SentAt > Order->AcceptedAt + Config.StopTimeout;
       if (StopTimeoutOver && !isListed(Name))
-        ToRefuse.emplace_back(Name, RefusalReason::Cancelled);
+        ToRefuse.emplace_back(Name, Order->ReasonAfterStop);
       else if (StopTimeoutOver)
         ToStopAgain.push_back(Name);
       continue;
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -39,6 +39,8 @@
                            WorkerPort &Worker, Options Config)
     : Loop(Loop), Time(Time), Port(Worker), Config(Config),
       Token(Config.Incarnation),
+      // A start is void once the lease that it carries is over.
+      EarlierOrdersEnd(Time.now() + LeaseLength * 102 / 100),
       // An earlier agent process may have just extended the lease.
       LeaseBound(Time.now() + Config.MaxLease), WaitTimer(Loop.timer()),
       HoldTimer(Loop.timer()) {
--- a/tests/runner/AgentSessionTest.cpp
+++ b/tests/runner/AgentSessionTest.cpp
@@ -113,3 +113,29 @@
   Setup.follow(Millis(1000));
   REQUIRE(Setup.Worker.Stops >= 2);
 }
+
+// Guards against two runs of a task: a start that the former agent process sent
+// is carried out after its successor reported the run as refused.
+TEST_CASE("a new agent process refuses a run only after a stop") {
+  Fixture Setup;
+  Setup.Worker.StartAnswer = WorkerBusy{};
+  Setup.follow(Millis(1000));
+  Setup.sync({Setup.order()}, {});
+  Setup.follow(Millis(1500));
+  REQUIRE(Setup.Worker.Stops >= 1);
+  REQUIRE(Setup.Newest.Refused.size() == 1);
+}
+
+// Guards against two runs of a task: the first start got no answer and is
+// carried out after the worker declined its repetition.
+TEST_CASE("a declined repetition of an unanswered start is stopped") {
+  Fixture Setup;
+  Setup.follow(Millis(7000));
+  Setup.Worker.StartAnswer = NoWorkerAnswer{"lost"};
+  Setup.sync({Setup.order()}, {});
+  Setup.Loop.runFor(Millis(30));
+  Setup.Worker.StartAnswer = StartRefused{RefusalReason::NoRoom};
+  Setup.follow(Millis(1000));
+  REQUIRE(Setup.Worker.Stops >= 1);
+  REQUIRE(Setup.Newest.Refused.size() == 1);
+}
