Put off a takeover only for a new status

Cause: each delivery of the leader's status restarted the 1.6 s after which a leader is replaced, also the same status read again after the store had dropped its history.

Evidence: "a status that is read again does not put off a takeover" failed before (no leader 2.2 s after the kill).

--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -29,8 +29,8 @@
 }
 
 void LeaderDuty::onStatusRows(const std::vector<rows::StoredRow> &Rows) {
-  StatusKnown = true;
-  StatusChangedAt = Time.now();
+  if (!std::exchange(StatusKnown, true))
+    StatusChangedAt = Time.now();
   // Another writer may have left a row in the table.
   auto Newest = std::find_if(Rows.rbegin(), Rows.rend(), [](const auto &Row) {
     return Row.Name == intake::leaderRow();
@@ -38,7 +38,7 @@
   if (Newest != Rows.rend()) {
     if (Newest->Version != StatusVersion) {
       StatusVersion = Newest->Version;
-      StatusReceivedAt = Time.now();
+      StatusReceivedAt = StatusChangedAt = Time.now();
     }
     try {
       LeaderStatus Next = decodeLeaderStatus(Newest->Value);
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -179,6 +179,22 @@
   requireNoViolations(Fleet);
 }
 
+// Guards against a takeover that is put off because the same status is read
+// again, as the store has dropped its history.
+TEST_CASE("a status that is read again does not put off a takeover") {
+  VirtualFleet Fleet(16, 3, 1);
+  Fleet.Loop.runFor(Millis(3000));
+  std::size_t First = Fleet.leader();
+  REQUIRE(First < 3);
+  Fleet.killEntry(First);
+  Fleet.Loop.runFor(Millis(1000));
+  Fleet.Store.HistoryTrimmedTo = rows::RowVersion(~std::uint64_t{0});
+  Fleet.Loop.runFor(Millis(500));
+  Fleet.Store.HistoryTrimmedTo = {};
+  Fleet.Loop.runFor(Millis(700));
+  REQUIRE(Fleet.leader() < 3);
+}
+
 // Guards against a stopping leader that does not release the leadership because
 // a transaction is in flight: its successor then waits as for a dead leader.
 TEST_CASE("a stopping leader hands over at once") {
