Use a doubtful VM for a serving task only after a second

Directly after a takeover only some agents have replied. A serving task without a VM then took the last resort at once and could gather a whole service on one VM for want of milliseconds, and it came before preemption. It now waits for the time after which a job counts as starved. Found by the review; the two tests of the last resort check the wait.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -44,6 +44,8 @@
   WorkerLife Life;
   /// Earliest next start, after a failure.
   TimePoint NotBefore{};
+  /// When the newest run ended or this process learned of the task.
+  TimePoint WaitingSince{};
   /// VMs on which the task failed or stalled, or that turned it away.
   std::set<VmId> AvoidedVms;
 };
--- a/include/daisyspool/scheduling/VmChoice.h
+++ b/include/daisyspool/scheduling/VmChoice.h
@@ -24,8 +24,8 @@
   /// The job has had no run for a long time: the best VM is used even if a
   /// best-effort task would run slowly there.
   bool Starved = false;
-  /// No VM is feasible otherwise: probation and the share of a service on one
-  /// VM are disregarded.
+  /// A serving task has found no VM for a while: probation and the share of a
+  /// service on one VM are disregarded.
   bool LastResort = false;
 };
 
@@ -37,16 +37,14 @@
 bool isFeasible(const VmState &Vm, const VmRequest &Request,
                 const Resources &Free, TimePoint Now);
 
-/// Selects the VM for a task, or null if none has room. Sets
-/// VmRequest::LastResort for a serving task that finds no VM without it: one
-/// that runs on a doubtful VM serves more than one that does not run.
+/// Selects the VM for a task, or null if none has room.
 ///
 /// Load patterns: short urgent tasks are packed (best fit on processors), so
 /// that large ones still find room in a burst of long tasks; serving tasks are
 /// grouped by image, so that best-effort batch finds VMs with services that it
 /// does not slow down; best-effort tasks go where the expected tail is lowest,
 /// then where most processors are idle.
-VmState *chooseVm(std::vector<VmState *> &Vms, VmRequest Request,
+VmState *chooseVm(std::vector<VmState *> &Vms, const VmRequest &Request,
                   TimePoint Now);
 
 /// Selects the VM on which to keep room for a long-running task that fits
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -76,6 +76,11 @@
     Job.Status = JobStatus::Cancelled;
     markDirty(Job);
   }
+  // The agents have not replied yet, so no VM is known to have room.
+  for (OccurrenceProgress &Occurrence : Job.Occurrences)
+    for (StepProgress &Step : Occurrence.Steps)
+      for (TaskProgress &Task : Step.Tasks)
+        Task.WaitingSince = Now;
   for (const TaskName &Name : assignedTasks(Job)) {
     const TaskProgress &Task = *Job.findTask(Name);
     addVm(Task.Vm, Now);
@@ -180,6 +185,7 @@
     return;
   Task->Phase = TaskPhase::Waiting;
   Task->NotBefore = NotBefore;
+  Task->WaitingSince = LastSchedule;
   ++Job.ReadyTasks;
   decrementAssignedTasks(Job);
   markDirty(Job);
@@ -336,6 +342,13 @@
     if (isBlocked(Request))
       return;
     VmState *Vm = chooseVm(VmList, Request, Now);
+    // Load pattern: a full fleet, or failing jobs that put all VMs on
+    // probation. A service on a doubtful VM is better than none.
+    if (!Vm && Request.Step->LongRunning &&
+        Now - std::max(Task.WaitingSince, Job.Arrival) > Config.StarvedAfter) {
+      Request.LastResort = true;
+      Vm = chooseVm(VmList, Request, Now);
+    }
     if (!Vm) {
       recordBlocked(Request);
       preemptFor(Job, Request, Now);
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -140,7 +140,7 @@
   return Now >= Vm.ProbationUntil || Vm.Assigned.empty();
 }
 
-VmState *chooseVm(std::vector<VmState *> &Vms, VmRequest Request,
+VmState *chooseVm(std::vector<VmState *> &Vms, const VmRequest &Request,
                   TimePoint Now) {
   VmState *Best = nullptr;
   Score BestScore;
@@ -155,11 +155,8 @@
       BestScore = Candidate;
     }
   }
-  if (Best || !Request.Step->LongRunning || Request.LastResort)
-    return Best;
 
-  Request.LastResort = true;
-  return chooseVm(Vms, Request, Now);
+  return Best;
 }
 
 VmState *chooseReservation(std::vector<VmState *> &Vms,
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -266,6 +266,10 @@
   Setup.scheduleAndCommit();
   Setup.Subject.addJob(service("x", 4, 900, "x"), Millis(0), Setup.Now);
   Setup.scheduleAndCommit();
+  REQUIRE(Setup.runCount("x") == 3);
+  Setup.Now += Millis(1100);
+  Setup.sendReplies();
+  Setup.scheduleAndCommit();
   REQUIRE(Setup.runCount("x") == 4);
 }
 
@@ -283,6 +287,10 @@
   REQUIRE(Setup.Subject.vm(VmId("vm0"))->ProbationUntil > Setup.Now);
   Setup.Subject.addJob(service("y", 1, 1000, "x"), Millis(0), Setup.Now);
   Setup.scheduleAndCommit();
+  Setup.Now += Millis(1100);
+  Setup.sendReplies();
+  REQUIRE(Setup.Subject.vm(VmId("vm0"))->ProbationUntil > Setup.Now);
+  Setup.scheduleAndCommit();
   REQUIRE(Setup.runCount("y") == 1);
 }
 
