Renew the leader's status while it loads

Callers saw: nothing yet; while the store is slow, jobs do not start, as leaders replace each other before they have loaded.

Cause: a leader that loads wrote nothing.

Change: a loading leader renews its status, with the numbers of pending jobs of its predecessor. Reads that are repeated have a timer of their own, as a transaction may be repeated at the same time.

Evidence: "a leader that loads from a slow store is not replaced" failed before (more than one epoch within 8 s).

--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -53,6 +53,8 @@
     checkLeader();
     if (Leadership && Leadership->Loaded)
       runScheduler();
+    else if (Leadership)
+      commitChanges();
     startTick();
   });
 }
@@ -115,16 +117,21 @@
   LeaderStatus Result;
   Result.Leader = *OwnIdentity;
   Result.Released = Released;
-  Result.Pending = Leadership->JobScheduler.pending();
+  // Until all progress is read, jobs that have begun would be counted as well.
+  Result.Pending =
+      Leadership->Loaded ? Leadership->JobScheduler.pending() : Status.Pending;
   return Result;
 }
 
 void LeaderDuty::commitChanges() {
-  if (Leadership->Committing || !Leadership->Loaded)
+  if (Leadership->Committing)
     return;
+  // Loading takes seconds while the store is slow, and a leader that does not
+  // renew its status meanwhile is replaced.
   bool RenewsStatus =
       Time.now() - Leadership->LeaseStart >= Config.RenewalInterval;
-  if (!RenewsStatus && !Leadership->JobScheduler.hasChanges())
+  bool HasChanges = Leadership->Loaded && Leadership->JobScheduler.hasChanges();
+  if (!RenewsStatus && !HasChanges)
     return;
 
   auto Next = std::make_shared<Transaction>();
@@ -135,16 +142,17 @@
   Next->Write.Conditions.push_back(
       {intake::fenceRow(), Leadership->FenceVersion});
   Next->Write.Puts.push_back({intake::fenceRow(), encode(Next->OwnFence)});
-  if (RenewsStatus) {
+  if (RenewsStatus)
     Next->Write.Puts.push_back({intake::leaderRow(), encode(ownStatus(false))});
+  if (RenewsStatus && Leadership->Loaded)
     Next->Write.Puts.push_back(
         {intake::tailModelRow(),
          Leadership->JobScheduler.encodeTailModel(Time.now())});
-  }
-  for (auto &Change :
-       Leadership->JobScheduler.takeChanges(CommitNumber(Next->Number)))
-    Next->Write.Puts.push_back(
-        {intake::progressRow(Change.Job), std::move(Change.Progress)});
+  if (Leadership->Loaded)
+    for (auto &Change :
+         Leadership->JobScheduler.takeChanges(CommitNumber(Next->Number)))
+      Next->Write.Puts.push_back(
+          {intake::progressRow(Change.Job), std::move(Change.Progress)});
   // A repetition keeps the start time of the first attempt, as the store may
   // have applied that one.
   Next->StartedAt = Time.now();
--- a/src/leadership/LeaderState.h
+++ b/src/leadership/LeaderState.h
@@ -41,7 +41,7 @@
 struct LeaderDuty::LeaderState {
   LeaderState(EventLoop &Loop, const Scheduler::Options &Scheduling)
       : JobScheduler(Scheduling), WorkTimer(Loop.timer()),
-        RetryTimer(Loop.timer()) {}
+        RetryTimer(Loop.timer()), LoadRetryTimer(Loop.timer()) {}
 
   Scheduler JobScheduler;
   Fence OwnFence;
@@ -60,6 +60,7 @@
   std::unique_ptr<rows::TableWatch> IntakeWatch;
   std::unique_ptr<Timer> WorkTimer;
   std::unique_ptr<Timer> RetryTimer;
+  std::unique_ptr<Timer> LoadRetryTimer;
 };
 
 } // namespace daisyspool::leadership
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -259,7 +259,7 @@
                             const std::string &FromKey) {
   const auto *Page = std::get_if<rows::RowPage>(&Outcome);
   if (!Page) {
-    Leadership->RetryTimer->start(RetryPause, [this, FromKey] {
+    Leadership->LoadRetryTimer->start(RetryPause, [this, FromKey] {
       if (Leadership)
         readProgress(FromKey);
     });
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -195,6 +195,30 @@
   REQUIRE(Fleet.leader() < 3);
 }
 
+// Guards against leaders that replace each other while they load, as loading
+// many jobs from a slow store takes longer than a takeover.
+TEST_CASE("a leader that loads from a slow store is not replaced") {
+  VirtualFleet Fleet(17, 3, 4);
+  Fleet.Loop.runFor(Millis(3000));
+  for (std::size_t I = 0; I < 260; ++I) {
+    Fleet.submit(I % 3, chainJob("job" + std::to_string(I), 1, 1), Millis(50));
+    Fleet.Loop.runFor(Millis(20));
+  }
+  REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(10)));
+  std::size_t First = Fleet.leader();
+  REQUIRE(First < 3);
+  Epoch Before = Fleet.Entries[First]->Leader.status().Leader.Term;
+  Fleet.Store.Delay = Millis(200);
+  Fleet.killEntry(First);
+  Fleet.Loop.runFor(Millis(8000));
+  std::size_t Second = Fleet.leader();
+  REQUIRE(Second < 3);
+  REQUIRE(Fleet.Entries[Second]->Leader.status().Leader.Term == Before.next());
+  Fleet.submit(Second, chainJob("after", 1, 1), Millis(50));
+  REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(10)));
+  requireNoViolations(Fleet);
+}
+
 // Guards against a stopping leader that does not release the leadership because
 // a transaction is in flight: its successor then waits as for a dead leader.
 TEST_CASE("a stopping leader hands over at once") {
