--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -99,7 +99,8 @@
   LeaderStatus Status;
   bool StatusKnown = false;
   TimePoint StatusChangedAt{};
-  /// Version of the status row, and when this process first received it.
+  /// Version of the status row, and when this process first received it: the
+  /// newest lease of that leader began earlier.
   rows::RowVersion StatusVersion;
   TimePoint StatusReceivedAt{};
   bool TakingOver = false;
--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -137,6 +137,7 @@
   std::optional<WorkerReport> Worker;
   /// The worker's newest known life; 0 while none is known.
   WorkerLife Life;
+  /// When this process learned of the known life.
   TimePoint LifeSince{};
   /// Lives that have ended; a delayed announcement may still name one.
   std::set<WorkerLife> EndedLives;
