Answer a hold for another id by 421 in the soak's worker

The soak did not build since holds carry the expected id in tests/fleet. Its worker now compares the header, as for starts and stops.

--- a/soak/SoakWorker.h
+++ b/soak/SoakWorker.h
@@ -84,7 +84,7 @@
     }
     try {
       if (Received.Target == "/-/hold")
-        return hold(json::parse(Received.Body), Answer);
+        return hold(json::parse(Received.Body), expectedId(Received), Answer);
       Answer->respond(execute(Received));
     } catch (const json::exception &Problem) {
       Answer->respond(jsonResponse({{"detail", Problem.what()}}, 400));
@@ -98,12 +98,16 @@
     return jsonResponse(Body, Status);
   }
 
+  static TargetId expectedId(const http::Request &Received) {
+    return TargetId(
+        http::findHeader(Received.Headers, "X-Expected-Instance").value_or(""));
+  }
+
   /// Executes a start, stop or pace command; a pace has no effect.
   http::Response execute(const http::Request &Received) {
     json From = json::parse(Received.Body);
     runner::FencingToken Token(From.at("fencing_token").get<std::uint64_t>());
-    TargetId Expected(
-        http::findHeader(Received.Headers, "X-Expected-Instance").value_or(""));
+    TargetId Expected = expectedId(Received);
     auto Task = workload::parseTaskName(From.at("task").get<std::string>());
     if (!Task)
       return answer(400);
@@ -134,7 +138,8 @@
     return answer(200);
   }
 
-  void hold(const json &From, const ExchangePtr &Answer) {
+  void hold(const json &From, const TargetId &Expected,
+            const ExchangePtr &Answer) {
     runner::HoldRequest Request;
     if (From.contains("deadline_ms"))
       Request.LeaseEnd =
@@ -142,26 +147,30 @@
     Request.EndsRecorded =
         runner::EndNumber(From.at("last_seen").get<std::uint64_t>());
     runner::FencingToken Token(From.at("fencing_token").get<std::uint64_t>());
-    wait(Token, Request, Loop.now() + Millis(From.value("wait_ms", 0)),
-         Tasks.endCount(), Tasks.life(), Answer);
+    wait(Token, Expected, Request,
+         Loop.now() + Millis(From.value("wait_ms", 0)), Tasks.endCount(),
+         Tasks.life(), Answer);
   }
 
-  void wait(runner::FencingToken Token, const runner::HoldRequest &Request,
-            TimePoint End, std::size_t EndsBefore, runner::WorkerLife Life,
+  void wait(runner::FencingToken Token, const TargetId &Expected,
+            const runner::HoldRequest &Request, TimePoint End,
+            std::size_t EndsBefore, runner::WorkerLife Life,
             const ExchangePtr &Answer) {
     if (!Tasks.up() || Tasks.life() != Life) {
       Unanswered.push_back(Answer);
       return;
     }
-    auto Outcome = Tasks.hold(Token, Request);
+    auto Outcome = Tasks.hold(Token, Expected, Request);
+    if (std::holds_alternative<runner::OtherLife>(Outcome))
+      return Answer->respond(answer(421));
     const auto *Listing = std::get_if<runner::WorkerListing>(&Outcome);
     if (!Listing)
       return Answer->respond(answer(409, "fence"));
     if (Loop.now() >= End || Tasks.endCount() != EndsBefore)
       return Answer->respond(jsonResponse(toJson(*Listing)));
     Loop.after(PollInterval,
-               [this, Token, Request, End, EndsBefore, Life, Answer] {
-                 wait(Token, Request, End, EndsBefore, Life, Answer);
+               [this, Token, Expected, Request, End, EndsBefore, Life, Answer] {
+                 wait(Token, Expected, Request, End, EndsBefore, Life, Answer);
                });
   }
 
