--- a/tests/platform_adapter/RowStoreClientTest.cpp
+++ b/tests/platform_adapter/RowStoreClientTest.cpp
@@ -103,8 +103,10 @@
         std::string(R"({"table":"t","part":"p","key":"odd",)"
                     R"("schema_version":8})")}) {
     INFO(Odd);
-    auto Page = std::get<rows::RowPage>(Store.follow(
-        200, R"({"rows":[)" + Odd + "," + Good + R"(],"schema_version":9})"));
+    std::string Body = R"({"rows":[)";
+    Body.append(Odd).append(",").append(Good);
+    Body.append(R"(],"schema_version":9})");
+    auto Page = std::get<rows::RowPage>(Store.follow(200, Body));
     // The key stays known, as the next page is requested from the last key.
     REQUIRE(Page.Rows.size() == 2);
     REQUIRE(Page.Rows[0].Name.Key == "odd");
