Let the larger entry lead, and relieve a leader that does not keep up

Cause: whichever entry was nearest to the store took over, with 0.12 of a core as well as with 0.5.

Change: the settings name an entry's share of processors, and the leader's status carries it. An entry smaller than the last leader waits 150 ms for each halving before it takes over, at most 450 ms; entries of one size wait no longer than before. The leader averages how late its timer runs and reports itself overloaded after 1.5 s above 100 ms; an entry at least half as large again then takes over. The takeover's log line no longer has a meaningless number for the first leader.

--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -4,6 +4,7 @@
 #include "daisyspool/core/EventLoop.h"
 #include "daisyspool/leadership/AgentLinks.h"
 #include "daisyspool/leadership/LeaderRecord.h"
+#include "daisyspool/leadership/Succession.h"
 #include "daisyspool/rows/TableWatch.h"
 #include "daisyspool/scheduling/Scheduler.h"
 
@@ -28,6 +29,8 @@
   struct Options {
     ProcessId Process;
     Incarnation ProcessIncarnation;
+    /// The share of processors that this process may use.
+    MilliCores Processors{1000};
     /// How long a leader may act after the start of its last successful
     /// transaction that renewed its status.
     Millis Lease{3000};
@@ -52,6 +55,9 @@
   const LeaderStatus &status() const { return Status; }
   bool isLeading() const { return OwnIdentity.has_value(); }
 
+  /// How late this process handles its events, averaged.
+  Millis lag() const { return Lag.lag(); }
+
   /// Stops leading, publishes that the leadership is released, and calls \p
   /// Done.
   void close(std::function<void()> Done);
@@ -85,6 +91,7 @@
                        const rows::CommitOutcome &Outcome);
   void onCommitted(const Transaction &Committed, rows::RowVersion FenceVersion);
   void sendOrders();
+  void reportOverload();
   bool holdsLease() const;
   void stepDown(const char *Cause);
   void startTick();
@@ -110,6 +117,8 @@
   std::unique_ptr<LeaderState> Leadership;
   rows::TableWatch StatusWatch;
   std::unique_ptr<Timer> TickTimer;
+  LagMonitor Lag;
+  bool OverloadReported = false;
 };
 
 } // namespace daisyspool::leadership
--- a/include/daisyspool/leadership/LeaderRecord.h
+++ b/include/daisyspool/leadership/LeaderRecord.h
@@ -2,6 +2,7 @@
 #define DAISYSPOOL_LEADERSHIP_LEADERRECORD_H
 
 #include "daisyspool/core/Ids.h"
+#include "daisyspool/core/Units.h"
 #include "daisyspool/workload/JobDefinition.h"
 
 #include <cstdint>
@@ -39,6 +40,10 @@
   bool Released = false;
   /// Number of accepted jobs without a started task, by queue.
   std::map<workload::QueueId, std::uint32_t> Pending;
+  /// The leader's share of processors; 0 in the status of an older version.
+  MilliCores Processors;
+  /// The leader does not keep up; a larger entry should take over.
+  bool Overloaded = false;
 };
 
 /// Serialize and parse the two rows. Errors: parsing throws ProtocolError.
--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -2,6 +2,7 @@
 #define DAISYSPOOL_SETTINGS_NODESETTINGS_H
 
 #include "daisyspool/core/Ids.h"
+#include "daisyspool/core/Units.h"
 #include "daisyspool/settings/IniFile.h"
 
 #include <optional>
@@ -29,6 +30,8 @@
   http::Endpoint Store;
   Millis MaxLease{6000};
   Millis StopTimeout{400};
+  /// The share of processors that this process may use.
+  MilliCores Processors{1000};
   std::string LogLevel = "info";
 };
 
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -47,9 +47,12 @@
 }
 
 void LeaderDuty::startTick() {
-  TickTimer->start(TickInterval, [this] {
+  TickTimer->start(TickInterval, [this, Due = Time.now() + TickInterval] {
     if (Closed)
       return;
+    Lag.observe(std::chrono::duration_cast<Millis>(Time.now() - Due),
+                Time.now());
+    reportOverload();
     checkLeader();
     if (Leadership && Leadership->Loaded)
       runScheduler();
@@ -117,6 +120,8 @@
   LeaderStatus Result;
   Result.Leader = *OwnIdentity;
   Result.Released = Released;
+  Result.Processors = Config.Processors;
+  Result.Overloaded = Lag.isOverloaded(Time.now());
   // Until all progress is read, jobs that have begun would be counted as well.
   Result.Pending =
       Leadership->Loaded ? Leadership->JobScheduler.pending() : Status.Pending;
@@ -212,6 +217,15 @@
   scheduleWork();
 }
 
+void LeaderDuty::reportOverload() {
+  bool Overloaded = OwnIdentity && Lag.isOverloaded(Time.now());
+  if (std::exchange(OverloadReported, Overloaded) != Overloaded)
+    LogEvent(LogLevel::Warning,
+             Overloaded ? "leader_overloaded" : "leader_keeps_up")
+        .with("lag_ms", Lag.lag().count())
+        .with("processors", Config.Processors.value());
+}
+
 void LeaderDuty::sendOrders() {
   if (!holdsLease() || !Leadership->Links)
     return;
--- a/src/leadership/LeaderRecord.cpp
+++ b/src/leadership/LeaderRecord.cpp
@@ -12,6 +12,11 @@
 using nlohmann::json;
 using wire::wholeNumber;
 
+/// Number of fields of a status before it named the leader's processors.
+constexpr std::size_t NumberOfOldFields = 3;
+/// Upper limit for stored millicores.
+constexpr std::int64_t MaxProcessors = 1'000'000;
+
 json toJson(const LeaderIdentity &Leader) {
   return json::array({Leader.Term.value(), Leader.Process.str(),
                       Leader.ProcessIncarnation.value()});
@@ -48,8 +53,8 @@
   json Pending = json::array();
   for (const auto &[Queue, Count] : Row.Pending)
     Pending.push_back(json::array({Queue.str(), Count}));
-  return pack(
-      json::array({toJson(Row.Leader), Row.Released, std::move(Pending)}));
+  return pack(json::array({toJson(Row.Leader), Row.Released, std::move(Pending),
+                           Row.Processors.value(), Row.Overloaded}));
 }
 
 LeaderStatus decodeLeaderStatus(std::string_view Bytes) {
@@ -61,6 +66,12 @@
     for (const json &QueueCount : Value.at(2))
       Status.Pending[workload::QueueId(QueueCount.at(0).get<std::string>())] =
           wholeNumber<std::uint32_t>(QueueCount.at(1));
+    // Absent in the status of a leader of the version before.
+    if (Value.size() > NumberOfOldFields) {
+      Status.Processors =
+          MilliCores(wholeNumber(Value.at(3), 0, MaxProcessors));
+      Status.Overloaded = Value.at(4);
+    }
     return Status;
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("leader row: ") + Problem.what());
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -61,17 +61,21 @@
   if (OwnIdentity || TakingOver || Closed || !StatusKnown)
     return;
 
-  bool NoLeader = Status.Leader.Term == Epoch{};
+  Millis Delay = takeoverDelay(Config.Processors, Status);
+  bool NoLeader =
+      Status.Leader.Term == Epoch{} && Time.now() - StatusChangedAt >= Delay;
   // Counts only time up to the last answer of the store; otherwise an entry
   // that the store had refused to serve would replace a healthy leader when the
   // store answers it again.
   bool RenewalOverdue =
-      StatusWatch.lastAnswer() - StatusChangedAt > Config.TakeoverAfter;
+      StatusWatch.lastAnswer() - StatusChangedAt > Config.TakeoverAfter + Delay;
+  bool ReleaseSeen = Status.Released && Time.now() - StatusChangedAt >= Delay;
   // An earlier incarnation of this process led; it no longer exists.
   bool WasThisProcess =
       Status.Leader.Process == Config.Process &&
       Status.Leader.ProcessIncarnation < Config.ProcessIncarnation;
-  if (NoLeader || Status.Released || RenewalOverdue || WasThisProcess)
+  if (NoLeader || ReleaseSeen || RenewalOverdue || WasThisProcess ||
+      shouldRelieve(Config.Processors, Status))
     readFence();
 }
 
@@ -122,13 +126,18 @@
       .with("status_age_ms",
             std::chrono::duration_cast<Millis>(Time.now() - StatusChangedAt)
                 .count())
-      .with("earlier_grants_left_ms",
-            std::chrono::duration_cast<Millis>(Attempt.EarlierGrantsEnd -
-                                               Attempt.StartedAt)
-                .count());
+      .with(
+          "earlier_grants_left_ms",
+          std::max(Millis(0), std::chrono::duration_cast<Millis>(
+                                  Attempt.EarlierGrantsEnd - Attempt.StartedAt))
+              .count())
+      .with("processors", Config.Processors.value())
+      .with("processors_before", Status.Processors.value())
+      .with("before_overloaded", Status.Overloaded ? "yes" : "no");
   LeaderStatus NewStatus;
   NewStatus.Leader = Attempt.OwnFence.Leader;
   NewStatus.Pending = Status.Pending;
+  NewStatus.Processors = Config.Processors;
   rows::RowTransaction Write;
   Write.Conditions.push_back({intake::fenceRow(), FenceVersion});
   // With a newer status the predecessor has a newer lease.
@@ -179,6 +188,8 @@
   OwnIdentity = OwnFence.Leader;
   Status.Leader = OwnFence.Leader;
   Status.Released = false;
+  Status.Processors = Config.Processors;
+  Status.Overloaded = false;
   StatusChangedAt = Time.now();
   Leadership = std::make_unique<LeaderState>(Loop, Config.Scheduling);
   Leadership->OwnFence = OwnFence;
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -1,5 +1,9 @@
 #include "daisyspool/settings/NodeSettings.h"
 
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
 namespace daisyspool {
 
 namespace {
@@ -26,6 +30,32 @@
   }
 }
 
+/// The positive number at a key, or \p Default without a value.
+double positiveNumberOr(IniFile &File, std::string_view Section,
+                        std::string_view Key, double Default) {
+  constexpr double Max = 1000;
+  std::string Text = File.textOr(Section, Key, "");
+  if (Text.empty())
+    return Default;
+
+  double Value = 0;
+  auto [End, Failure] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  bool Whole = Failure == std::errc{} && End == Text.data() + Text.size();
+  if (!Whole || !(Value > 0 && Value <= Max))
+    File.fail(Section, Key, "a number above 0 and up to 1000");
+  return Value;
+}
+
+/// The product of a process's share of a core and the speed of that core;
+/// shares below a thousandth count as one.
+MilliCores processors(IniFile &File) {
+  double Share = positiveNumberOr(File, "capacity", "cpu_share", 1);
+  double Cores = positiveNumberOr(File, "capacity", "cores", 1);
+  return MilliCores(
+      std::max<std::int64_t>(1, std::llround(Share * Cores * 1000)));
+}
+
 } // namespace
 
 NodeSettings parseNodeSettings(IniFile File) {
@@ -44,6 +74,7 @@
       millisecondsOr(File, "bounds", "max_lease_ms", Result.MaxLease);
   Result.StopTimeout =
       millisecondsOr(File, "bounds", "stop_timeout_ms", Result.StopTimeout);
+  Result.Processors = processors(File);
   File.rejectUnread();
   return Result;
 }
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -195,6 +195,64 @@
   REQUIRE(Fleet.leader() < 3);
 }
 
+// Load pattern: an entry with a small share of a processor leads more VMs than
+// it can, and falls seconds behind while it renews its status. Guards against a
+// leader that nobody relieves although a larger entry is there.
+TEST_CASE("a larger entry relieves an overloaded leader") {
+  VirtualFleet Fleet(21, 2, 24);
+  Fleet.killEntry(1);
+  Fleet.Processors[0] = MilliCores(120);
+  Fleet.TimePerEvent[0] = Millis(30);
+  Fleet.Processors[1] = MilliCores(500);
+  Fleet.startEntry(0);
+  Fleet.Loop.runFor(Millis(4000));
+  REQUIRE(Fleet.leader() == 0);
+  Fleet.startEntry(1);
+  Fleet.Loop.runFor(Millis(5000));
+  INFO("lag in ms: " << Fleet.Entries[0]->Leader.lag().count());
+  REQUIRE(Fleet.leader() == 1);
+  submitJobs(Fleet, 10);
+  REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(10)));
+  requireNoViolations(Fleet);
+}
+
+// Guards against a leader that loses the leadership to a larger entry although
+// it keeps up, which would only stop the starts for a while.
+TEST_CASE("a small leader that keeps up is not replaced") {
+  VirtualFleet Fleet(22, 2, 4);
+  Fleet.killEntry(1);
+  Fleet.Processors[0] = MilliCores(120);
+  Fleet.TimePerEvent[0] = Millis(2);
+  Fleet.Processors[1] = MilliCores(500);
+  Fleet.startEntry(0);
+  Fleet.Loop.runFor(Millis(3000));
+  Fleet.startEntry(1);
+  Fleet.Loop.runFor(Millis(6000));
+  REQUIRE(Fleet.leader() == 0);
+}
+
+// Guards against a takeover by the entry that is nearest to the store while a
+// larger one is there.
+TEST_CASE("the largest entry succeeds a dead leader") {
+  VirtualFleet Fleet(23, 4, 2);
+  for (std::size_t I = 0; I < 4; ++I) {
+    Fleet.killEntry(I);
+    Fleet.Processors[I] = MilliCores(I == 0 || I == 3 ? 500 : 120);
+  }
+  Fleet.startEntry(0);
+  Fleet.Loop.runFor(Millis(2000));
+  for (std::size_t I = 1; I < 4; ++I)
+    Fleet.startEntry(I);
+  Fleet.Loop.runFor(Millis(2000));
+  REQUIRE(Fleet.leader() == 0);
+  Fleet.killEntry(0);
+  Fleet.Loop.runFor(Millis(2500));
+  REQUIRE(Fleet.leader() == 3);
+  Fleet.killEntry(3);
+  Fleet.Loop.runFor(Millis(3000));
+  REQUIRE(Fleet.leader() < 3);
+}
+
 // Guards against leaders that replace each other while they load, as loading
 // many jobs from a slow store takes longer than a takeover.
 TEST_CASE("a leader that loads from a slow store is not replaced") {
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -187,15 +187,18 @@
   /// One entry process.
   struct Entry {
     Entry(VirtualFleet &Owner, std::size_t Number)
-        : Alive(std::make_shared<bool>(true)),
-          Store(Owner.Store, "entry" + std::to_string(Number), Alive),
-          Intake(Owner.Loop, Owner.Loop, Store),
+        : Alive(std::make_shared<bool>(true)), Cpu(Owner.Loop, Alive),
+          Store(Owner.Store, "entry" + std::to_string(Number), Alive, &Cpu),
+          Intake(Cpu, Owner.Loop, Store),
           Leader(
-              Owner.Loop, Owner.Loop, Store,
-              [&Owner, Alive = Alive](const http::Endpoint &Agent) {
-                return Owner.openChannel(Agent, Alive);
+              Cpu, Owner.Loop, Store,
+              [&Owner, this](const http::Endpoint &Agent) {
+                return Owner.openChannel(Agent, Alive, Cpu);
               },
               options(Owner, Number)) {
+      auto Set = Owner.TimePerEvent.find(Number);
+      if (Set != Owner.TimePerEvent.end())
+        Cpu.TimePerEvent = Set->second;
       Leader.configure(Owner.Config);
     }
     ~Entry() { *Alive = false; }
@@ -206,10 +209,14 @@
       Result.Process = ProcessId("entry" + std::to_string(Number));
       Result.ProcessIncarnation =
           Incarnation(static_cast<std::uint64_t>(Owner.Loop.wallNow().count()));
+      auto Set = Owner.Processors.find(Number);
+      if (Set != Owner.Processors.end())
+        Result.Processors = Set->second;
       return Result;
     }
 
     AliveFlag Alive;
+    VirtualProcessor Cpu;
     StoreConnection Store;
     intake::JobIntake Intake;
     leadership::LeaderDuty Leader;
@@ -288,6 +295,10 @@
   Oracle Invariants;
   VirtualStore Store;
   workload::FleetConfig Config;
+  /// By entry, its share of processors and its processor time for each event;
+  /// both apply from the next start of the entry.
+  std::map<std::size_t, MilliCores> Processors;
+  std::map<std::size_t, Millis> TimePerEvent;
   std::vector<std::unique_ptr<VirtualWorker>> Workers;
   std::vector<std::unique_ptr<VirtualAgent>> Agents;
   /// By agent, whether it is cut off from all entries.
@@ -300,11 +311,15 @@
   /// Delivers a sync to the agent process that runs when the sync arrives.
   class Channel final : public leadership::AgentChannel {
   public:
-    Channel(VirtualFleet &Owner, std::size_t AgentIndex, AliveFlag Alive)
-        : Owner(Owner), AgentIndex(AgentIndex), Alive(std::move(Alive)) {}
+    Channel(VirtualFleet &Owner, std::size_t AgentIndex, AliveFlag Alive,
+            VirtualProcessor &Cpu)
+        : Owner(Owner), AgentIndex(AgentIndex), Alive(std::move(Alive)),
+          Cpu(Cpu) {}
 
-    void exchange(const runner::SyncRequest &Request, Millis Timeout,
-                  std::function<void(leadership::SyncOutcome)> Done) override {
+    void
+    exchange(const runner::SyncRequest &Request, Millis Timeout,
+             std::function<void(leadership::SyncOutcome)> Handler) override {
+      auto Done = Cpu.handled(Alive, std::move(Handler));
       auto Finished = std::make_shared<bool>(false);
       auto Finish = [CallerAlive = Alive, Finished,
                      Done](const leadership::SyncOutcome &Outcome) {
@@ -340,11 +355,13 @@
     VirtualFleet &Owner;
     std::size_t AgentIndex;
     AliveFlag Alive;
+    VirtualProcessor &Cpu;
   };
 
   std::unique_ptr<leadership::AgentChannel>
-  openChannel(const http::Endpoint &Agent, const AliveFlag &Alive) {
-    return std::make_unique<Channel>(*this, Agent.Port - 1000U, Alive);
+  openChannel(const http::Endpoint &Agent, const AliveFlag &Alive,
+              VirtualProcessor &Cpu) {
+    return std::make_unique<Channel>(*this, Agent.Port - 1000U, Alive, Cpu);
   }
 
   void announceRepeatedly(std::size_t I) {
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -4,7 +4,7 @@
 #define DAISYSPOOL_TESTS_FLEET_VIRTUALSTORE_H
 
 #include "daisyspool/rows/RowStore.h"
-#include "fleet/VirtualLoop.h"
+#include "fleet/VirtualProcessor.h"
 
 #include <algorithm>
 #include <map>
@@ -14,10 +14,6 @@
 
 namespace daisyspool::testing {
 
-/// True while a simulated process runs; callbacks to a process that has ended
-/// are dropped.
-using AliveFlag = std::shared_ptr<bool>;
-
 class VirtualStore {
 public:
   VirtualStore(VirtualLoop &Loop, std::mt19937_64 &Random)
@@ -120,11 +116,15 @@
 /// One process's connection to a VirtualStore.
 class StoreConnection final : public rows::RowStore {
 public:
-  StoreConnection(VirtualStore &Store, std::string Process, AliveFlag Alive)
-      : Store(Store), Process(std::move(Process)), Alive(std::move(Alive)) {}
+  /// Answers are handled by \p Cpu, if there is one.
+  StoreConnection(VirtualStore &Store, std::string Process, AliveFlag Alive,
+                  VirtualProcessor *Cpu = nullptr)
+      : Store(Store), Process(std::move(Process)), Alive(std::move(Alive)),
+        Cpu(Cpu) {}
 
   void commit(const rows::RowTransaction &Transaction, Millis Timeout,
-              std::function<void(rows::CommitOutcome)> Done) override {
+              std::function<void(rows::CommitOutcome)> Handler) override {
+    auto Done = handledByCpu(std::move(Handler));
     Store.Loop.after(Store.Delay, [&Backend = Store, Transaction, Timeout,
                                    CallerAlive = Alive, Name = Process, Done] {
       if (Backend.Silent)
@@ -156,7 +156,8 @@
   }
 
   void read(const rows::RowRange &Range, Millis Timeout,
-            std::function<void(rows::ReadOutcome)> Done) override {
+            std::function<void(rows::ReadOutcome)> Handler) override {
+    auto Done = handledByCpu(std::move(Handler));
     Store.Loop.after(Store.Delay, [&Backend = Store, Range, Timeout,
                                    CallerAlive = Alive, Name = Process, Done] {
       if (Backend.Silent)
@@ -175,11 +176,18 @@
   }
 
   void follow(const std::string &Table, rows::RowVersion After, Millis Wait,
-              std::function<void(rows::FeedOutcome)> Done) override {
+              std::function<void(rows::FeedOutcome)> Handler) override {
+    auto Done = handledByCpu(std::move(Handler));
     poll(Store, Alive, Process, Table, After, Store.Loop.now() + Wait, Done);
   }
 
 private:
+  template <typename Outcome>
+  std::function<void(Outcome)>
+  handledByCpu(std::function<void(Outcome)> Handler) const {
+    return Cpu ? Cpu->handled(Alive, std::move(Handler)) : std::move(Handler);
+  }
+
   template <typename Outcome>
   static void answer(VirtualStore &Backend, const AliveFlag &CallerAlive,
                      Millis Delay, const std::function<void(Outcome)> &Done,
@@ -215,6 +223,7 @@
   VirtualStore &Store;
   std::string Process;
   AliveFlag Alive;
+  VirtualProcessor *Cpu;
 };
 
 } // namespace daisyspool::testing
--- a/tests/leadership/LeaderRecordTest.cpp
+++ b/tests/leadership/LeaderRecordTest.cpp
@@ -39,9 +39,31 @@
     for (const char *Path : {"/0/0", "/0/2", "/1"})
       REQUIRE_THROWS_AS(decodeFence(testing::withElement(GoodFence, Path, Odd)),
                         ProtocolError);
-    for (const char *Path : {"/0/0", "/0/2", "/2/0/1"})
+    for (const char *Path : {"/0/0", "/0/2", "/2/0/1", "/3"})
       REQUIRE_THROWS_AS(
           decodeLeaderStatus(testing::withElement(GoodStatus, Path, Odd)),
           ProtocolError);
   }
 }
+
+// Guards against entries that cannot follow a leader of the version before
+// during a rolling restart.
+TEST_CASE("a status without the leader's processors is read") {
+  LeaderStatus Status;
+  Status.Leader = Identity;
+  Status.Released = true;
+  Status.Processors = MilliCores(500);
+  Status.Overloaded = true;
+  std::string Bytes = encode(Status);
+  REQUIRE(decodeLeaderStatus(Bytes).Processors == MilliCores(500));
+  REQUIRE(decodeLeaderStatus(Bytes).Overloaded);
+  auto Value = nlohmann::json::from_msgpack(Bytes);
+  Value.erase(4);
+  Value.erase(3);
+  auto Old = nlohmann::json::to_msgpack(Value);
+  LeaderStatus Read = decodeLeaderStatus(std::string(Old.begin(), Old.end()));
+  REQUIRE(Read.Leader == Identity);
+  REQUIRE(Read.Released);
+  REQUIRE(Read.Processors == MilliCores(0));
+  REQUIRE_FALSE(Read.Overloaded);
+}
--- /dev/null
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -0,0 +1,44 @@
+#include "daisyspool/settings/NodeSettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace daisyspool;
+
+namespace {
+
+NodeSettings settingsWith(const std::string &Capacity) {
+  return parseNodeSettings(
+      IniFile::parse("node.ini", "[node]\n"
+                                 "name = entry-1\n"
+                                 "failure_domain = Regina\n"
+                                 "[listen]\n"
+                                 "links = 127.0.0.1:7720\n"
+                                 "metrics = 127.0.0.1:7721\n"
+                                 "[store]\n"
+                                 "address = 127.0.0.1:8169\n"
+                                 "[capacity]\n" +
+                                     Capacity));
+}
+
+} // namespace
+
+// Guards against entries that all claim the same processors, so that a small
+// one leads.
+TEST_CASE("a node's processors are its share of its cores") {
+  REQUIRE(settingsWith("cpu_share = 0.12\ncores = 1\n").Processors ==
+          MilliCores(120));
+  REQUIRE(settingsWith("cpu_share = 0.069\ncores = 2\n").Processors ==
+          MilliCores(138));
+  REQUIRE(settingsWith("cpu_share = 0.0001\n").Processors == MilliCores(1));
+  REQUIRE(settingsWith("").Processors == MilliCores(1000));
+}
+
+// Guards against a wrong setting that is taken for a number.
+TEST_CASE("a wrong capacity of a node is rejected with its key") {
+  for (const char *Wrong :
+       {"", "0", "-1", "0.5x", "nan", "inf", "1e30", "many"}) {
+    INFO(Wrong);
+    REQUIRE_THROWS_AS(settingsWith("cpu_share = " + std::string(Wrong) + "\n"),
+                      SettingsError);
+  }
+}
