Hold starts back while the leader's view of cancellations is old

Whether the view was old could not be seen, as the time of the last answer is that of its handling, and an answer may wait seconds for a busy process.

Change: a watch knows since when it is current, counted from when the answered call was sent. Start orders are held while that is more than 2 s ago; stops, grants and decisions go on.

Test: with silent feeds a task of a cancelled job started before, none now.

--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -91,6 +91,7 @@
                        const rows::CommitOutcome &Outcome);
   void onCommitted(const Transaction &Committed, rows::RowVersion FenceVersion);
   void sendOrders();
+  void updateStartHold();
   void reportOverload();
   bool holdsLease() const;
   void stepDown(const char *Cause);
--- a/include/daisyspool/rows/TableWatch.h
+++ b/include/daisyspool/rows/TableWatch.h
@@ -42,6 +42,11 @@
   /// When the store last answered; the epoch before the first answer.
   TimePoint lastAnswer() const;
 
+  /// All changes that were committed before this time have been delivered; the
+  /// epoch before the first answer. Counts from when a call was sent, as an
+  /// answer may wait for a busy process.
+  TimePoint currentAsOf() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> State;
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -103,6 +103,10 @@
   /// Marks the transaction \p Number as durable.
   void onCommitted(CommitNumber Number);
 
+  /// Holds start orders back, or no longer. Stops, grants and the assignment of
+  /// tasks go on.
+  void holdStarts(bool Hold) { StartsHeld = Hold; }
+
   /// Whether the next sync to \p Vm would contain start or stop orders.
   bool hasOrders(const VmId &Vm) const;
 
@@ -191,6 +195,7 @@
   TailModel Tails;
   TimePoint LastSchedule{};
   bool FleetUnderHalfHeld = false;
+  bool StartsHeld = false;
   CommitNumber Durable = RestoredCommit;
 };
 
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -17,6 +17,9 @@
 constexpr Millis StatusWait{550};
 /// Events within this delay share one scheduling pass and one transaction.
 constexpr Millis WorkDelay{4};
+/// Starts are held back while the newest known cancellations may be older than
+/// this; twice the usual age of the leader's view of the intake.
+constexpr Millis MaxCancellationAge{2000};
 /// Interval of the checks that depend only on the time.
 constexpr Millis TickInterval{100};
 
@@ -68,6 +71,7 @@
       [this](const VmId &Vm) -> std::optional<runner::SyncRequest> {
     if (!holdsLease())
       return std::nullopt;
+    updateStartHold();
     return Leadership->JobScheduler.nextSync(Vm, OwnIdentity->Term, Time.now());
   };
   Hooks.OnReply = [this](const VmId &Vm, std::uint64_t Number,
@@ -217,6 +221,18 @@
   scheduleWork();
 }
 
+/// Load pattern: a leader that is behind, or that the store's change feed does
+/// not reach, would start tasks of jobs that were cancelled seconds ago.
+void LeaderDuty::updateStartHold() {
+  Duration Age = Time.now() - Leadership->IntakeWatch->currentAsOf();
+  bool Hold = Age > MaxCancellationAge;
+  Leadership->JobScheduler.holdStarts(Hold);
+  if (std::exchange(Leadership->StartsHeld, Hold) != Hold)
+    LogEvent(LogLevel::Warning, Hold ? "starts_held" : "starts_resumed")
+        .with("intake_age_ms", std::chrono::duration_cast<Millis>(Age).count())
+        .with("lag_ms", Lag.lag().count());
+}
+
 void LeaderDuty::reportOverload() {
   bool Overloaded = OwnIdentity && Lag.isOverloaded(Time.now());
   if (std::exchange(OverloadReported, Overloaded) != Overloaded)
@@ -229,6 +245,7 @@
 void LeaderDuty::sendOrders() {
   if (!holdsLease() || !Leadership->Links)
     return;
+  updateStartHold();
   for (const auto &[Vm, Agent] : Leadership->Agents)
     if (Leadership->JobScheduler.hasOrders(Vm))
       Leadership->Links->send(Vm);
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+/// How long a read of the intake waits for changes. Without changes the
+/// leader's view of it is up to two waits old, which must stay below the age
+/// that holds starts back.
+constexpr Millis IntakeWait{500};
+
 WallMillis ageOf(const workload::JobRecord &Job, const Clock &Time) {
   return Time.wallNow() - Job.Accepted;
 }
@@ -202,8 +207,8 @@
       .with("fence_version", FenceVersion);
   Leadership->IntakeWatch = std::make_unique<rows::TableWatch>(
       Loop, Time, Store,
-      rows::TableWatch::Options{intake::IntakeTable,
-                                intake::intakePartitions()},
+      rows::TableWatch::Options{intake::IntakeTable, intake::intakePartitions(),
+                                IntakeWait},
       [this](const std::vector<rows::StoredRow> &Rows) { onIntakeRows(Rows); });
 }
 
--- a/src/rows/TableWatch.cpp
+++ b/src/rows/TableWatch.cpp
@@ -27,6 +27,7 @@
         OnRows(std::move(OnRows)) {}
 
   void readAll() {
+    ReadStartedAt = Time.now();
     ReadRows.clear();
     OldestPageVersion.reset();
     UnreadPartitions = Config.Partitions.size();
@@ -38,6 +39,7 @@
   void close() { Closed = true; }
 
   TimePoint LastAnswer{};
+  TimePoint CurrentAsOf{};
 
 private:
   void readPage(const std::string &Partition, const std::string &From) {
@@ -69,6 +71,7 @@
       return;
 
     Version = *OldestPageVersion;
+    CurrentAsOf = ReadStartedAt;
     deliver(std::exchange(ReadRows, {}));
     if (!Closed)
       follow();
@@ -76,12 +79,13 @@
 
   void follow() {
     Store.follow(Config.Table, Version, Config.Wait,
-                 [Self = shared_from_this()](const FeedOutcome &Outcome) {
-                   Self->onFeed(Outcome);
+                 [Self = shared_from_this(),
+                  SentAt = Time.now()](const FeedOutcome &Outcome) {
+                   Self->onFeed(Outcome, SentAt);
                  });
   }
 
-  void onFeed(const FeedOutcome &Outcome) {
+  void onFeed(const FeedOutcome &Outcome, TimePoint SentAt) {
     if (Closed)
       return;
     if (std::holds_alternative<HistoryGone>(Outcome)) {
@@ -98,6 +102,7 @@
 
     onCallSucceeded();
     Version = std::max(Version, Page->Version);
+    CurrentAsOf = SentAt;
     if (!Page->Rows.empty())
       deliver(Page->Rows);
     if (!Closed)
@@ -155,6 +160,7 @@
   RowStore &Store;
   Options Config;
   RowsCallback OnRows;
+  TimePoint ReadStartedAt{};
   std::vector<StoredRow> ReadRows;
   std::optional<RowVersion> OldestPageVersion;
   std::size_t UnreadPartitions = 0;
@@ -174,4 +180,6 @@
 
 TimePoint TableWatch::lastAnswer() const { return State->LastAnswer; }
 
+TimePoint TableWatch::currentAsOf() const { return State->CurrentAsOf; }
+
 } // namespace daisyspool::rows
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -302,7 +302,7 @@
         const Assignment &Run = Each.second;
         bool IsDurable = Run.Commit != CommitNumber{} && Run.Commit <= Durable;
         return Run.Stopping ? Run.StopSentInSync == 0
-                            : Run.SentInSync == 0 && IsDurable;
+                            : Run.SentInSync == 0 && IsDurable && !StartsHeld;
       });
 }
 
@@ -334,7 +334,7 @@
       continue;
     }
     bool IsDurable = Run.Commit != CommitNumber{} && Run.Commit <= Durable;
-    if (Run.SentInSync != 0 || !IsDurable)
+    if (Run.SentInSync != 0 || !IsDurable || StartsHeld)
       continue;
     auto Found = Jobs.find(Name.Job);
     if (Found == Jobs.end())
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -253,6 +253,27 @@
   REQUIRE(Fleet.leader() < 3);
 }
 
+// Load pattern: the store's change feed does not reach the leader, or the
+// leader is behind, while jobs are cancelled. Guards against starting a task of
+// a job whose cancellation was accepted seconds ago.
+TEST_CASE("no task starts while the leader's view of cancellations is old") {
+  VirtualFleet Fleet(24, 2, 2);
+  Fleet.Loop.runFor(Millis(3000));
+  Fleet.submit(0, chainJob("job", 2, 1), Millis(3500));
+  Fleet.Loop.runFor(Millis(500));
+  REQUIRE(Fleet.Invariants.Starts == 1);
+  Fleet.Store.SilentFeeds = true;
+  Fleet.Loop.runFor(Millis(200));
+  Fleet.cancel(1, JobId("job"));
+  Fleet.Loop.runFor(Millis(5000));
+  REQUIRE(Fleet.Invariants.Starts == 1);
+  Fleet.Store.SilentFeeds = false;
+  Fleet.submit(0, chainJob("next", 1, 1), Millis(500));
+  Fleet.Loop.runFor(Millis(3000));
+  REQUIRE(Fleet.status(JobId("next")) == JobStatus::Completed);
+  requireNoViolations(Fleet);
+}
+
 // Guards against leaders that replace each other while they load, as loading
 // many jobs from a slow store takes longer than a takeover.
 TEST_CASE("a leader that loads from a slow store is not replaced") {
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -25,6 +25,8 @@
   bool Silent = false;
   /// Processes whose calls are refused.
   std::set<std::string> RefusedProcesses;
+  /// Calls that wait for changes get no answer.
+  bool SilentFeeds = false;
   /// Share of transactions whose answer is lost.
   double LostAnswerShare = 0;
   /// Transactions whose answer is lost are applied 2.5 s later instead of at
@@ -206,7 +208,7 @@
                                        After, End, Done] {
       if (!*CallerAlive)
         return;
-      if (Backend.Silent)
+      if (Backend.Silent || Backend.SilentFeeds)
         return Backend.Loop.now() >= End
                    ? Done(rows::ReadFailed{"silent"})
                    : poll(Backend, CallerAlive, Name, Table, After, End, Done);
--- a/tests/rows/TableWatchTest.cpp
+++ b/tests/rows/TableWatchTest.cpp
@@ -94,3 +94,26 @@
   REQUIRE(Table.Rows.count("bk5") == 1);
   REQUIRE(Table.Rows.count("bk4") == 0);
 }
+
+// Guards against taking rows for current that were read long before their
+// answer was handled.
+TEST_CASE("rows are current as of when the answered call was sent") {
+  Fixture Table;
+  Table.startWatch();
+  REQUIRE(Table.Watch->currentAsOf() == TimePoint{});
+  TimePoint Start = Table.Loop.now();
+  Table.Loop.runFor(Millis(100));
+  REQUIRE(Table.Watch->currentAsOf() == Start);
+  // The call that waits for changes was sent after the first read.
+  Table.Loop.runFor(Millis(900));
+  REQUIRE(Table.Watch->currentAsOf() == Start);
+  Table.put("a", "k", "1");
+  Table.Loop.runFor(Millis(50));
+  REQUIRE(Table.Watch->currentAsOf() > Start);
+  REQUIRE(Table.Loop.now() - Table.Watch->currentAsOf() > Millis(900));
+  Table.Store.SilentFeeds = true;
+  TimePoint Before = Table.Watch->currentAsOf();
+  Table.Loop.runFor(Millis(5000));
+  REQUIRE(Table.Loop.now() - Table.Watch->currentAsOf() > Millis(5000));
+  REQUIRE(Table.Watch->currentAsOf() >= Before);
+}
