Raise the pace of filling tasks in steps, for each service

Cause: a filling task beside services below 0.75 of their target returned to full pace at once, although the tail was low only because of the pace.

Change: each serving image on a VM has a pacer, which cuts the pace at once and raises it in steps; a filling task runs at the lowest pace of the services that it may disturb. Steps are larger than before, 200 points for each unit of ratio and 50 at most, as they now apply at all times.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -86,6 +86,13 @@
     std::uint32_t PacedTo = 100;
   };
 
+  struct Pace {
+    std::uint32_t Percent = 100;
+    /// The largest ratio of tail latency to target among the services that the
+    /// task may disturb; 0 without any.
+    double TailRatio = 0;
+  };
+
   void beginLife(WorkerLife NewLife);
   void refuseExpiredOrders();
   void applyGrant(const SyncRequest &Request);
@@ -108,15 +115,14 @@
   void removeSettledOrders(TimePoint SentAt);
   void startWaitingOrders();
   void detectStalls(TimePoint Now);
-  /// The largest ratio of tail latency to target among the running services
-  /// that the filling task may disturb; 0 without any.
-  double worstTailRatio(const RunTraits &FillingTask) const;
+  /// Updates the pacer of each running serving image with its tail latency.
+  void updatePacers(TimePoint Now);
   void paceFillingTasks(TimePoint Now);
-  /// The pace in percent for a filling task beside services whose worst tail
-  /// ratio is \p TailRatio.
-  std::uint32_t pacePercent(double TailRatio) const;
+  /// The pace of a filling task: the lowest that the services beside it that it
+  /// may disturb allow.
+  Pace paceFor(const RunTraits &FillingTask) const;
   void paceNewRun(const RunName &Name);
-  void setPace(const RunName &Name, std::uint32_t Percent, double TailRatio);
+  void setPace(const RunName &Name, const Pace &Wanted);
   bool isListed(const RunName &Name) const;
   bool hasEnded(const RunName &Name) const;
   void reportChange();
@@ -165,7 +171,8 @@
   std::uint64_t LastRefusal = 0;
   std::map<TaskName, RunNumber> RefusedUpTo;
   std::vector<RunName> Stalled;
-  FillPacer Pacer;
+  /// By serving image on this VM, the pace of the tasks that may disturb it.
+  std::map<workload::ImageId, FillPacer> Pacers;
   TailOverrun Overrun;
   /// HoldTimer is set for the next hold.
   bool HoldScheduled = false;
--- a/include/daisyspool/runner/FillPacer.h
+++ b/include/daisyspool/runner/FillPacer.h
@@ -26,6 +26,9 @@
 
   std::uint32_t percent() const { return Percent; }
 
+  /// The ratio that the last update() got.
+  double tailRatio() const { return TailRatio; }
+
   /// Below this tail ratio the share may rise.
   static constexpr double SpeedUpBelow = 0.75;
 
@@ -42,13 +45,14 @@
   static constexpr double MinDecreaseFactor = 0.4;
   /// Percentage points gained per unit of tail ratio below the set point, and
   /// the most that one step gains.
-  static constexpr double StepPerRatio = 80;
-  static constexpr double MaxStep = 30;
+  static constexpr double StepPerRatio = 200;
+  static constexpr double MaxStep = 50;
   /// Below this share a filling task makes little progress and mainly disturbs
   /// the services.
   static constexpr double MinPercent = 8;
 
   std::uint32_t Percent = 100;
+  double TailRatio = 0;
   TimePoint LastChange{};
 };
 
--- a/src/runner/AgentPacing.cpp
+++ b/src/runner/AgentPacing.cpp
@@ -31,51 +31,57 @@
   Stalled = std::move(StalledNow);
 }
 
-double AgentSession::worstTailRatio(const RunTraits &FillingTask) const {
-  double WorstRatio = 0;
+void AgentSession::updatePacers(TimePoint Now) {
+  std::map<workload::ImageId, double> WorstRatios;
   for (const RunningTask &Task : Running) {
     auto Known = TraitsByRun.find(Task.Name);
     if (Known == TraitsByRun.end() || Known->second.TailTarget == Millis(0))
       continue;
-    const auto &Harmless = FillingTask.HarmlessTo;
-    if (std::find(Harmless.begin(), Harmless.end(), Known->second.Image) !=
-        Harmless.end())
-      continue;
-    WorstRatio = std::max(
-        WorstRatio, static_cast<double>(Task.Load) /
-                        static_cast<double>(Known->second.TailTarget.count()));
+    double &Worst = WorstRatios[Known->second.Image];
+    Worst = std::max(Worst,
+                     static_cast<double>(Task.Load) /
+                         static_cast<double>(Known->second.TailTarget.count()));
   }
-
-  return WorstRatio;
+  std::erase_if(Pacers, [&](const auto &Each) {
+    return WorstRatios.count(Each.first) == 0;
+  });
+  for (const auto &[Image, Ratio] : WorstRatios)
+    Pacers[Image].update(Ratio, Now);
 }
 
 void AgentSession::paceFillingTasks(TimePoint Now) {
-  double WorstRatio = 0;
-  double WorstRatioOfAll = worstTailRatio({});
-  std::vector<std::pair<RunName, double>> FillingTasks;
+  updatePacers(Now);
+  std::vector<RunName> FillingTasks;
   for (const RunningTask &Task : Running) {
     auto Known = TraitsByRun.find(Task.Name);
-    if (Known == TraitsByRun.end() || !Known->second.FillsIdleCpu)
-      continue;
-    FillingTasks.emplace_back(Task.Name, worstTailRatio(Known->second));
-    WorstRatio = std::max(WorstRatio, FillingTasks.back().second);
+    if (Known != TraitsByRun.end() && Known->second.FillsIdleCpu)
+      FillingTasks.push_back(Task.Name);
   }
+  double WorstRatio = 0;
+  for (const auto &[Image, Pacer] : Pacers)
+    WorstRatio = std::max(WorstRatio, Pacer.tailRatio());
   if (!FillingTasks.empty())
-    Overrun.update(WorstRatioOfAll, Now);
-  Pacer.update(WorstRatio, Now);
-  for (const auto &[Name, TailRatio] : FillingTasks)
-    setPace(Name, pacePercent(TailRatio), TailRatio);
+    Overrun.update(WorstRatio, Now);
+  for (const RunName &Name : FillingTasks)
+    setPace(Name, paceFor(TraitsByRun[Name]));
 }
 
-std::uint32_t AgentSession::pacePercent(double TailRatio) const {
+AgentSession::Pace AgentSession::paceFor(const RunTraits &FillingTask) const {
+  Pace Result;
+  for (const auto &[Image, Pacer] : Pacers) {
+    const auto &Harmless = FillingTask.HarmlessTo;
+    if (std::find(Harmless.begin(), Harmless.end(), Image) != Harmless.end())
+      continue;
+    Result.TailRatio = std::max(Result.TailRatio, Pacer.tailRatio());
+    Result.Percent = std::min(Result.Percent, Pacer.percent());
+  }
   // After that long the classification of harmless pairs is no longer relied
   // on.
-  if (Overrun.level() == TailOverrun::Stop::All)
-    return 0;
-  // A task beside services well below their target needs no slowing down.
-  if (TailRatio < FillPacer::SpeedUpBelow)
-    return 100;
-  return Overrun.level() == TailOverrun::Stop::Suspects ? 0 : Pacer.percent();
+  bool IsSuspect = Result.TailRatio >= FillPacer::SpeedUpBelow;
+  if (Overrun.level() == TailOverrun::Stop::All ||
+      (Overrun.level() == TailOverrun::Stop::Suspects && IsSuspect))
+    Result.Percent = 0;
+  return Result;
 }
 
 /// Load pattern: short filling tasks that follow each other; without this each
@@ -85,13 +91,12 @@
   auto Known = TraitsByRun.find(Name);
   if (Known == TraitsByRun.end() || !Known->second.FillsIdleCpu)
     return;
-  double TailRatio = worstTailRatio(Known->second);
-  setPace(Name, pacePercent(TailRatio), TailRatio);
+  setPace(Name, paceFor(Known->second));
 }
 
-void AgentSession::setPace(const RunName &Name, std::uint32_t Percent,
-                           double TailRatio) {
+void AgentSession::setPace(const RunName &Name, const Pace &Wanted) {
   RunTraits &Known = TraitsByRun[Name];
+  std::uint32_t Percent = Wanted.Percent;
   if (Known.PacedTo == Percent)
     return;
 
@@ -100,7 +105,7 @@
   LogEvent(LogLevel::Info, "run_paced")
       .with("task", workload::toString(Name.Task))
       .with("percent", Percent)
-      .with("tail_percent", static_cast<std::int64_t>(TailRatio * 100));
+      .with("tail_percent", static_cast<std::int64_t>(Wanted.TailRatio * 100));
   Port.pace(Token, workerId(), Name, Percent,
             [this, Name, Before](const OrderOutcome &Outcome) {
               auto Paced = TraitsByRun.find(Name);
--- a/src/runner/FillPacer.cpp
+++ b/src/runner/FillPacer.cpp
@@ -5,6 +5,7 @@
 namespace daisyspool::runner {
 
 std::uint32_t FillPacer::update(double WorstTailRatio, TimePoint Now) {
+  TailRatio = WorstTailRatio;
   if (WorstTailRatio == 0) {
     Percent = 100;
     return Percent;
