Add batch beside a service only below 0.65 of its target

Cause: batch was placed up to an expected tail of 0.8 of the target, above the 0.75 below which an agent lets its pace rise, so it was slowed down at once and stayed slow beside a service that it kept near its target.

Test: a task was placed beside a service at 0.7 of its target before.

--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -403,3 +403,25 @@
   REQUIRE(Setup.Subject.hasOrders(Vm));
   REQUIRE(Setup.Subject.nextSync(Vm, Epoch(1), Setup.Now).Stops.size() == 1);
 }
+
+// Load pattern: services near their targets on every VM while batch queues up.
+// Guards against adding batch that the agents slow down at once, and that keeps
+// the service above its target until they do.
+TEST_CASE("best-effort batch is added only well below a service's target") {
+  auto PlacedBeside = [](std::int64_t Tail) {
+    Fixture Setup(1);
+    Setup.Subject.addJob(service("s", 1, 4000, "x"), Millis(0), Setup.Now);
+    Setup.scheduleAndCommit();
+    Setup.startAssignedRuns();
+    Setup.Replies[VmId("vm0")].Running[0].Load = Tail;
+    Setup.sendReplies();
+    auto Batch = job("batch", 1, 1000, 2);
+    Batch.Definition.Steps[0].FillsIdleCpu = true;
+    Batch.Definition.Steps[0].Image = ImageId("b");
+    Setup.Subject.addJob(Batch, Millis(0), Setup.Now);
+    Setup.scheduleAndCommit();
+    return Setup.runCount("batch");
+  };
+  REQUIRE(PlacedBeside(50) == 1);
+  REQUIRE(PlacedBeside(70) == 0);
+}
