--- a/include/daisyspool/leadership/Succession.h
+++ b/include/daisyspool/leadership/Succession.h
@@ -16,10 +16,14 @@
 /// processor share. The first to take over is the nearest to the store, and one
 /// with too small a share falls seconds behind. Entries smaller than the last
 /// leader therefore give the others time to take over first.
+///
+/// Thread safety: safe from any thread.
 Millis takeoverDelay(MilliCores Own, const LeaderStatus &Leader);
 
 /// Whether an entry with \p Own processors should replace a running leader that
 /// reports that it is overloaded.
+///
+/// Thread safety: safe from any thread.
 bool shouldRelieve(MilliCores Own, const LeaderStatus &Leader);
 
 /// Detects that a process no longer keeps up with its work, by how late its
@@ -32,7 +36,8 @@
 /// Thread safety: one thread at a time.
 class LagMonitor {
 public:
-  /// Records that a timer ran \p Lag after its due time.
+  /// Records that a timer ran \p Lag after its due time. Precondition: \p Now
+  /// is not earlier than in the last call.
   void observe(Millis Lag, TimePoint Now);
 
   /// Whether the lag has been high for long enough to call it an overload.
--- a/include/daisyspool/leadership/leadership.h
+++ b/include/daisyspool/leadership/leadership.h
@@ -3,6 +3,7 @@
 //   LeaderRecord.h  the fence row and the leader's public status
 //   AgentLinks.h    sync requests from the leader to the agents
 //   HttpChannel.h   sends them over HTTP
+//   Succession.h    which entry takes over, and whether a leader keeps up
 //   LeaderDuty.h    leader election and the work of the leader
 //
 // See LeaderDuty.h next.
@@ -13,5 +14,6 @@
 #include "daisyspool/leadership/HttpChannel.h"
 #include "daisyspool/leadership/LeaderDuty.h"
 #include "daisyspool/leadership/LeaderRecord.h"
+#include "daisyspool/leadership/Succession.h"
 
 #endif // DAISYSPOOL_LEADERSHIP_LEADERSHIP_H
--- a/src/leadership/LeaderRecord.cpp
+++ b/src/leadership/LeaderRecord.cpp
@@ -12,8 +12,9 @@
 using nlohmann::json;
 using wire::wholeNumber;
 
-/// Number of fields of a status before it named the leader's processors.
-constexpr std::size_t NumberOfOldFields = 3;
+/// Number of fields in the status of a version that does not name the leader's
+/// processors.
+constexpr std::size_t FieldsWithoutProcessors = 3;
 /// Upper limit for stored millicores.
 constexpr std::int64_t MaxProcessors = 1'000'000;
 
@@ -66,8 +67,7 @@
     for (const json &QueueCount : Value.at(2))
       Status.Pending[workload::QueueId(QueueCount.at(0).get<std::string>())] =
           wholeNumber<std::uint32_t>(QueueCount.at(1));
-    // Absent in the status of a leader of the version before.
-    if (Value.size() > NumberOfOldFields) {
+    if (Value.size() > FieldsWithoutProcessors) {
       Status.Processors =
           MilliCores(wholeNumber(Value.at(3), 0, MaxProcessors));
       Status.Overloaded = Value.at(4);
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -15,8 +15,8 @@
 constexpr std::int64_t ServingCpuUsePercent = 50;
 
 /// No best-effort task is added where a service's expected tail exceeds this
-/// ratio to its target. Below the ratio at which an agent lets the pace rise, as
-/// the task would otherwise be slowed down at once and stay slow.
+/// ratio to its target. Below the ratio at which an agent lets the pace rise,
+/// as the task would otherwise be slowed down at once and stay slow.
 constexpr double MaxExpectedTailRatio = 0.65;
 
 bool hasLabel(const VmState &Vm, const workload::LabelId &Label) {
