Decide in one place whether a start order is due

The condition stood in hasOrders() and nextSync(), and holding starts had been added to both; if the two differ, an agent is sent syncs without orders or gets none. The leader kept a copy of the scheduler's flag to log its changes and now asks the scheduler.

--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -106,6 +106,7 @@
   /// Holds start orders back, or no longer. Stops, grants and the assignment of
   /// tasks go on.
   void holdStarts(bool Hold) { StartsHeld = Hold; }
+  bool areStartsHeld() const { return StartsHeld; }
 
   /// Whether the next sync to \p Vm would contain start or stop orders.
   bool hasOrders(const VmId &Vm) const;
@@ -148,6 +149,9 @@
                      TimePoint Now);
   void reconcile(VmState &Vm, std::uint64_t Number,
                  const runner::SyncReply &Reply, TimePoint Now);
+  /// Whether the next sync carries the start order of \p Run, which is not
+  /// being stopped.
+  bool isStartDue(const Assignment &Run) const;
   void updateListedRuns(VmState &Vm, const runner::SyncReply &Reply);
   void stopStalled(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
   void decrementAssignedTasks(JobProgress &Job);
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -226,11 +226,11 @@
 void LeaderDuty::updateStartHold() {
   Duration Age = Time.now() - Leadership->IntakeWatch->currentAsOf();
   bool Hold = Age > MaxCancellationAge;
-  Leadership->JobScheduler.holdStarts(Hold);
-  if (std::exchange(Leadership->StartsHeld, Hold) != Hold)
+  if (Leadership->JobScheduler.areStartsHeld() != Hold)
     LogEvent(LogLevel::Warning, Hold ? "starts_held" : "starts_resumed")
         .with("intake_age_ms", std::chrono::duration_cast<Millis>(Age).count())
         .with("lag_ms", Lag.lag().count());
+  Leadership->JobScheduler.holdStarts(Hold);
 }
 
 void LeaderDuty::reportOverload() {
--- a/src/leadership/LeaderState.h
+++ b/src/leadership/LeaderState.h
@@ -53,7 +53,6 @@
   bool IntakeRead = false;
   bool Committing = false;
   bool WorkScheduled = false;
-  bool StartsHeld = false;
   /// The callback of close(); set while it waits for the transaction in flight.
   std::function<void()> PendingClose;
   std::map<VmId, http::Endpoint> Agents;
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -291,6 +291,11 @@
   }
 }
 
+bool Scheduler::isStartDue(const Assignment &Run) const {
+  bool IsDurable = Run.Commit != CommitNumber{} && Run.Commit <= Durable;
+  return Run.SentInSync == 0 && IsDurable && !StartsHeld;
+}
+
 bool Scheduler::hasOrders(const VmId &Id) const {
   auto Found = Vms.find(Id);
   if (Found == Vms.end())
@@ -300,9 +305,7 @@
   return std::any_of(
       Vm.Assigned.begin(), Vm.Assigned.end(), [&](const auto &Each) {
         const Assignment &Run = Each.second;
-        bool IsDurable = Run.Commit != CommitNumber{} && Run.Commit <= Durable;
-        return Run.Stopping ? Run.StopSentInSync == 0
-                            : Run.SentInSync == 0 && IsDurable && !StartsHeld;
+        return Run.Stopping ? Run.StopSentInSync == 0 : isStartDue(Run);
       });
 }
 
@@ -333,8 +336,7 @@
       }
       continue;
     }
-    bool IsDurable = Run.Commit != CommitNumber{} && Run.Commit <= Durable;
-    if (Run.SentInSync != 0 || !IsDurable || StartsHeld)
+    if (!isStartDue(Run))
       continue;
     auto Found = Jobs.find(Name.Job);
     if (Found == Jobs.end())
