--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -19,6 +19,16 @@
   }
 }
 
+/// Restarts entry 0 alone with a small share of a processor; entry 1 has a
+/// large one from its next start.
+void leadWithSmallEntry(VirtualFleet &Fleet, Millis TimePerEvent) {
+  Fleet.killEntry(1);
+  Fleet.Processors[0] = MilliCores(120);
+  Fleet.TimePerEvent[0] = TimePerEvent;
+  Fleet.Processors[1] = MilliCores(500);
+  Fleet.startEntry(0);
+}
+
 void requireNoViolations(const VirtualFleet &Fleet) {
   INFO((Fleet.Invariants.Violations.empty()
             ? ""
@@ -200,11 +210,7 @@
 // leader that nobody relieves although a larger entry is there.
 TEST_CASE("a larger entry relieves an overloaded leader") {
   VirtualFleet Fleet(21, 2, 24);
-  Fleet.killEntry(1);
-  Fleet.Processors[0] = MilliCores(120);
-  Fleet.TimePerEvent[0] = Millis(30);
-  Fleet.Processors[1] = MilliCores(500);
-  Fleet.startEntry(0);
+  leadWithSmallEntry(Fleet, Millis(30));
   Fleet.Loop.runFor(Millis(4000));
   REQUIRE(Fleet.leader() == 0);
   Fleet.startEntry(1);
@@ -220,11 +226,7 @@
 // it keeps up, which would only stop the starts for a while.
 TEST_CASE("a small leader that keeps up is not replaced") {
   VirtualFleet Fleet(22, 2, 4);
-  Fleet.killEntry(1);
-  Fleet.Processors[0] = MilliCores(120);
-  Fleet.TimePerEvent[0] = Millis(2);
-  Fleet.Processors[1] = MilliCores(500);
-  Fleet.startEntry(0);
+  leadWithSmallEntry(Fleet, Millis(2));
   Fleet.Loop.runFor(Millis(3000));
   Fleet.startEntry(1);
   Fleet.Loop.runFor(Millis(6000));
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -319,7 +319,7 @@
     void
     exchange(const runner::SyncRequest &Request, Millis Timeout,
              std::function<void(leadership::SyncOutcome)> Handler) override {
-      auto Done = Cpu.handled(Alive, std::move(Handler));
+      auto Done = Cpu.handled(std::move(Handler));
       auto Finished = std::make_shared<bool>(false);
       auto Finish = [CallerAlive = Alive, Finished,
                      Done](const leadership::SyncOutcome &Outcome) {
--- a/tests/fleet/VirtualProcessor.h
+++ b/tests/fleet/VirtualProcessor.h
@@ -27,7 +27,7 @@
 
   std::unique_ptr<Timer> timer() override;
   void post(std::function<void()> Callback) override {
-    run([Callback = std::move(Callback)] { Callback(); });
+    run(std::move(Callback));
   }
 
   /// Handles one event when its turn comes.
@@ -43,15 +43,15 @@
 
   /// A callback that is handled as an event of this process.
   template <typename Outcome>
-  std::function<void(Outcome)> handled(const AliveFlag &Process,
-                                       std::function<void(Outcome)> Done) {
-    return [this, Process, Done = std::move(Done)](const Outcome &Result) {
-      if (!*Process)
-        return;
-      if (TimePerEvent == Millis(0))
-        return Done(Result);
-      run([Done, Result] { Done(Result); });
-    };
+  std::function<void(Outcome)> handled(std::function<void(Outcome)> Done) {
+    return
+        [this, Process = Alive, Done = std::move(Done)](const Outcome &Result) {
+          if (!*Process)
+            return;
+          if (TimePerEvent == Millis(0))
+            return Done(Result);
+          run([Done, Result] { Done(Result); });
+        };
   }
 
 private:
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -187,7 +187,7 @@
   template <typename Outcome>
   std::function<void(Outcome)>
   handledByCpu(std::function<void(Outcome)> Handler) const {
-    return Cpu ? Cpu->handled(Alive, std::move(Handler)) : std::move(Handler);
+    return Cpu ? Cpu->handled(std::move(Handler)) : std::move(Handler);
   }
 
   template <typename Outcome>
