Believe a new life of a worker only from the worker itself

Cause: AgentSession::announce took any announcement with a later `born` as the next life, without a word of the worker. The agent's log shows worker_life_began with the foreign id, the leader's run_over cause=new_life.

Change: an announcement that names another id or life than the confirmed one takes effect only when the worker, called under the announced id, lists that life.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -11,7 +11,8 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace daisyspool::runner {
@@ -21,7 +22,13 @@
   WorkerReport Worker;
   /// Increases with each announcement of one life of the worker.
   SequenceNumber Sequence;
-  WorkerClock Clock{0};
+};
+
+/// A worker's notice that it ends now.
+struct WorkerDeparture {
+  TargetId Id;
+  /// The life that ends; empty if the notice does not name it.
+  std::optional<WorkerLife> Life;
 };
 
 /// Carries out the leader's orders on one VM: extends the worker's lease as far
@@ -54,12 +61,14 @@
   AgentSession &operator=(const AgentSession &) = delete;
   ~AgentSession();
 
-  /// Processes an announcement; ignores one that is older than the last.
+  /// Processes an announcement. One that names another worker or life than the
+  /// known one takes effect only after the worker itself has confirmed it; an
+  /// older one than the last is ignored.
   void announce(const WorkerAnnouncement &Announcement);
 
-  /// Handles the final departure of the worker \p Id: it counts as draining
-  /// with no time left.
-  void leave(const TargetId &Id);
+  /// Handles the departure of the worker: it counts as draining with no time
+  /// left. Ignores that of another worker or life.
+  void leave(const WorkerDeparture &Departure);
 
   /// Processes the leader's request and calls \p Reply once, when there are
   /// changes to report or the wait is over.
@@ -93,6 +102,12 @@
     double TailRatio = 0;
   };
 
+  void ignore(const WorkerAnnouncement &Announcement, std::string_view Cause);
+  void applyAnnouncement(const WorkerAnnouncement &Announcement);
+  void confirm(const WorkerAnnouncement &Announcement);
+  void onConfirmation(const WorkerAnnouncement &Announcement,
+                      const HoldOutcome &Outcome, TimePoint SentAt);
+  bool isOutdatedLife(WorkerLife Listed, TimePoint SentAt) const;
   void beginLife(WorkerLife NewLife);
   void refuseExpiredOrders();
   void applyGrant(const SyncRequest &Request);
@@ -139,14 +154,14 @@
   Epoch Leader;
   /// Number of the newest sync from the current leader.
   std::uint64_t NewestSync = 0;
-  /// The worker's newest announcement; empty in a new agent process.
+  /// The worker's newest confirmed announcement; empty in a new agent process.
   std::optional<WorkerReport> Worker;
   /// The worker's newest known life; 0 while none is known.
   WorkerLife Life;
   /// When this process learned of the known life.
   TimePoint LifeSince{};
-  /// Lives that have ended; a delayed announcement may still name one.
-  std::set<WorkerLife> EndedLives;
+  /// Announcements about which the worker has been asked, by its id and life.
+  std::map<std::pair<TargetId, WorkerLife>, WorkerAnnouncement> Unconfirmed;
   /// The worker at the address has another id than expected, so the next hold
   /// asks for whichever life is there.
   bool AnyLifeAnswers = false;
--- a/soak/SoakWorker.h
+++ b/soak/SoakWorker.h
@@ -57,7 +57,7 @@
                 {"mem_mb", Worker.Capacity.Memory.value()},
                 {"gpu", 0}}},
               {"labels", Worker.Labels},
-              {"clock_ms", Announced.Clock.count()},
+              {"clock_ms", Tasks.clock().count()},
               {"born", Worker.Life.value()},
               {"sequence", Announced.Sequence.value()}};
     ToAgent.send({"POST",
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -17,9 +17,9 @@
 /// How far ahead a worker's lease is extended. Short, as the runs of an
 /// unreachable worker start elsewhere only after the lease has expired.
 constexpr Millis LeaseLength{2500};
-/// Number of ended lives that are remembered; an announcement is delayed by
-/// seconds, in which a worker restarts a few times at the most.
-constexpr std::size_t MaxRememberedLives = 32;
+/// Number of announcements that wait for the worker's confirmation at once, so
+/// that announcements of other writers leave connections for the holds.
+constexpr std::size_t MaxConfirmations = 2;
 /// Minimum remaining lease for which a run is started.
 constexpr Millis MinStartLease{300};
 
@@ -52,20 +52,30 @@
 AgentSession::~AgentSession() = default;
 
 void AgentSession::announce(const WorkerAnnouncement &Announcement) {
-  // After a step of the clock a new life may have the lower number. It is
-  // accepted from the worker's own listing, which cannot be delayed.
-  bool OldLife = Announcement.Worker.Life < Life ||
-                 EndedLives.count(Announcement.Worker.Life) != 0;
-  bool OldSequence = Worker && Announcement.Worker.Life == Worker->Life &&
-                     Announcement.Sequence <= Sequence;
-  if (OldLife || OldSequence) {
-    LogEvent(LogLevel::Info, "announcement_ignored")
-        .with("worker", Announcement.Worker.Id)
-        .with("life", Announcement.Worker.Life)
-        .with("sequence", Announcement.Sequence);
-    return;
-  }
+  const WorkerReport &Announced = Announcement.Worker;
+  bool IsConfirmed = Worker && Worker->Life == Life &&
+                     Worker->Id == Announced.Id && Life == Announced.Life;
+  if (!IsConfirmed)
+    return confirm(Announcement);
+
+  // A worker keeps its service for its whole life.
+  bool OtherService = Announced.Service != Worker->Service;
+  if (OtherService || Announcement.Sequence <= Sequence)
+    return ignore(Announcement, OtherService ? "other_service" : "old");
+  applyAnnouncement(Announcement);
+}
+
+void AgentSession::ignore(const WorkerAnnouncement &Announcement,
+                          std::string_view Cause) {
+  LogEvent(LogLevel::Info, "announcement_ignored")
+      .with("worker", Announcement.Worker.Id)
+      .with("life", Announcement.Worker.Life)
+      .with("known_life", Life)
+      .with("sequence", Announcement.Sequence)
+      .with("cause", Cause);
+}
 
+void AgentSession::applyAnnouncement(const WorkerAnnouncement &Announcement) {
   bool Changed = !Worker || Worker->Life != Announcement.Worker.Life ||
                  Worker->Draining != Announcement.Worker.Draining ||
                  Worker->Capacity != Announcement.Worker.Capacity;
@@ -73,7 +83,6 @@
     beginLife(Announcement.Worker.Life);
   Worker = Announcement.Worker;
   Sequence = Announcement.Sequence;
-  Lease.observe(Announcement.Clock, Time.now());
   if (Changed) {
     LogEvent(LogLevel::Info, "worker_announced")
         .with("worker", Worker->Id)
@@ -84,11 +93,61 @@
   }
 }
 
-void AgentSession::leave(const TargetId &Id) {
-  if (!Worker || Worker->Id != Id)
+/// An announcement may be delayed or come from another writer, and a new life
+/// ends all runs of the known one. The worker is therefore asked first, under
+/// the announced id, for the life that it is in.
+void AgentSession::confirm(const WorkerAnnouncement &Announcement) {
+  if (Closed)
+    return;
+  std::pair Announced{Announcement.Worker.Id, Announcement.Worker.Life};
+  if (auto Found = Unconfirmed.find(Announced); Found != Unconfirmed.end()) {
+    if (Announcement.Sequence > Found->second.Sequence)
+      Found->second = Announcement;
     return;
+  }
+  if (Unconfirmed.size() >= MaxConfirmations)
+    return ignore(Announcement, "too_many_unconfirmed");
+
+  Unconfirmed.emplace(Announced, Announcement);
+  // Neither extends a lease nor acknowledges ends, whichever life answers.
+  Port.hold(Token, Announcement.Worker.Id, HoldRequest{},
+            [this, Announced, SentAt = Time.now()](const HoldOutcome &Outcome) {
+              auto Answered = Unconfirmed.extract(Announced);
+              if (!Closed)
+                onConfirmation(Answered.mapped(), Outcome, SentAt);
+            });
+}
+
+void AgentSession::onConfirmation(const WorkerAnnouncement &Announcement,
+                                  const HoldOutcome &Outcome,
+                                  TimePoint SentAt) {
+  const auto *Listing = std::get_if<WorkerListing>(&Outcome);
+  if (!Listing)
+    return ignore(Announcement, std::holds_alternative<OtherLife>(Outcome)
+                                    ? "other_worker"
+                                    : "not_confirmed");
+  if (Listing->Life != Announcement.Worker.Life ||
+      isOutdatedLife(Listing->Life, SentAt))
+    return ignore(Announcement, "other_life");
+  applyAnnouncement(Announcement);
+}
+
+/// Whether an answer to a request of \p SentAt names a life that has ended: the
+/// known one was learned of after the request.
+bool AgentSession::isOutdatedLife(WorkerLife Listed, TimePoint SentAt) const {
+  return Listed != Life && SentAt <= LifeSince;
+}
+
+void AgentSession::leave(const WorkerDeparture &Departure) {
+  bool OtherLife = Departure.Life && *Departure.Life != Life;
+  if (!Worker || Worker->Id != Departure.Id || OtherLife) {
+    LogEvent(LogLevel::Info, "departure_ignored")
+        .with("worker", Departure.Id)
+        .with("cause", OtherLife ? "other_life" : "other_worker");
+    return;
+  }
 
-  LogEvent(LogLevel::Info, "worker_left").with("worker", Id);
+  LogEvent(LogLevel::Info, "worker_left").with("worker", Departure.Id);
   Worker->Draining = true;
   Worker->Remaining = Millis(0);
   reportChange();
@@ -101,11 +160,6 @@
   // A new agent process assumes that its orders are for the first life that it
   // learns of; attemptStart() compares the two after the first listing.
   bool WasKnown = Life != WorkerLife{};
-  if (WasKnown)
-    EndedLives.insert(Life);
-  if (EndedLives.size() > MaxRememberedLives)
-    EndedLives.erase(EndedLives.begin());
-  EndedLives.erase(NewLife);
   Life = NewLife;
   LifeSince = Time.now();
   HasListing = false;
@@ -265,9 +319,10 @@
 
 void AgentSession::applyListing(const WorkerListing &Listing,
                                 TimePoint SentAt) {
-  // Holds follow each other, so one that was sent in this life shows which life
-  // is the current one, whatever the numbers say.
-  if (Listing.Life != Life && SentAt <= LifeSince)
+  // A hold that was sent in this life shows which life is the current one,
+  // whatever the numbers say: a step of the clock may give a new life the lower
+  // one.
+  if (isOutdatedLife(Listing.Life, SentAt))
     return;
   if (Listing.Life != Life) {
     beginLife(Listing.Life);
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -7,6 +7,7 @@
 
 using namespace daisyspool;
 using namespace daisyspool::testing;
+using runner::WorkerLife;
 using scheduling::JobStatus;
 
 namespace {
@@ -38,6 +39,25 @@
 
 } // namespace
 
+// Guards against two runs of each task of a VM: another program announces a
+// worker to its agent, and the leader takes the runs of the true one for ended.
+TEST_CASE("announcements of other workers leave every task to run once") {
+  VirtualFleet Fleet(3, 3, 4);
+  Fleet.Loop.runFor(Millis(3000));
+  submitJobs(Fleet, 10);
+  for (std::size_t I = 0; I < Fleet.Agents.size(); ++I) {
+    auto Foreign = Fleet.Workers[I]->announcement();
+    Foreign.Worker.Id = TargetId("other");
+    Foreign.Worker.Service = ServiceId("listenroom");
+    Foreign.Worker.Life = WorkerLife(Foreign.Worker.Life.value() + 1000);
+    Fleet.Agents[I]->Session.announce(Foreign);
+    Fleet.Loop.runFor(Millis(100));
+  }
+  REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(10)));
+  REQUIRE(Fleet.Invariants.Starts == 80);
+  requireNoViolations(Fleet);
+}
+
 // Guards against jobs that do not complete although no fault is injected.
 TEST_CASE("jobs submitted to all entries complete without faults") {
   VirtualFleet Fleet(1, 3, 4);
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -73,7 +73,6 @@
                      Draining,
                      Millis(4500)};
     Result.Sequence = SequenceNumber(++AnnouncementCount);
-    Result.Clock = clock();
     return Result;
   }
 
--- a/tests/platform_adapter/DecodeTest.cpp
+++ b/tests/platform_adapter/DecodeTest.cpp
@@ -70,8 +70,10 @@
   REQUIRE(Announcement.Worker.Life == runner::WorkerLife(77));
   REQUIRE_FALSE(Announcement.Worker.Draining);
   REQUIRE(Announcement.Worker.Capacity.Cpu == MilliCores(16000));
-  for (const char *Field : {"service", "zone", "state", "capacity", "labels",
+  for (const char *Field : {"service", "address", "zone", "version", "slots",
+                            "state", "cold_remaining_ms", "capacity", "labels",
                             "clock_ms", "sequence", "born"}) {
+    INFO(Field);
     std::string Bad = Good;
     Bad.replace(Bad.find(Field), 1, "_");
     REQUIRE_THROWS_AS(decodeAnnouncement("i-1", Bad), ProtocolError);
@@ -82,6 +84,17 @@
   REQUIRE_THROWS_AS(decodeAnnouncement("i-1", "\xff"), ProtocolError);
 }
 
+// Guards against a departure of another life that is taken for the present one,
+// and against one that terminates the process.
+TEST_CASE("the departure of a worker names its life, if it says so") {
+  REQUIRE_FALSE(decodeDeparture("i-1", "").Life);
+  REQUIRE_FALSE(decodeDeparture("i-1", "{}").Life);
+  REQUIRE(decodeDeparture("i-1", R"({"born":77})").Life ==
+          runner::WorkerLife(77));
+  for (const char *Bad : {R"({"born":"x"})", R"({"born":-1})", "\xff"})
+    REQUIRE_THROWS_AS(decodeDeparture("i-1", Bad), ProtocolError);
+}
+
 // Guards against a configuration whose routes lose their policy.
 TEST_CASE("the operator's configuration is decoded") {
   auto Config = decodeConfig(
--- a/tests/runner/AgentFixture.h
+++ b/tests/runner/AgentFixture.h
@@ -18,9 +18,12 @@
 public:
   explicit ScriptedWorker(VirtualLoop &Loop) : Loop(Loop) {}
 
+  /// Holds for another worker are declined.
+  TargetId Id{"w"};
   StartOutcome StartAnswer = Started{};
   WorkerListing Listing;
   std::size_t Stops = 0;
+  std::size_t Holds = 0;
   /// The newest pace of each run that was ordered, in percent.
   std::map<RunName, std::uint32_t> Paces;
 
@@ -33,9 +36,15 @@
     ++Stops;
     Loop.after(Millis(1), [Done] { Done(runner::Done{}); });
   }
-  void hold(FencingToken, const TargetId &, const HoldRequest &,
+  void hold(FencingToken, const TargetId &Expected, const HoldRequest &,
             std::function<void(HoldOutcome)> Done) override {
-    Loop.after(Millis(50), [this, Done] { Done(Listing); });
+    ++Holds;
+    Loop.after(Millis(50), [this, Expected, Done] {
+      if (Expected.empty() || Expected == Id)
+        Done(Listing);
+      else
+        Done(OtherLife{});
+    });
   }
   void pace(FencingToken, const TargetId &, const RunName &Name,
             std::uint32_t Percent,
@@ -59,11 +68,18 @@
 
   AgentFixture() {
     Worker.Listing.Life = WorkerLife(1);
-    WorkerAnnouncement Announcement;
-    Announcement.Worker.Life = WorkerLife(1);
-    Announcement.Worker.Id = TargetId("w");
-    Announcement.Sequence = SequenceNumber(1);
-    Session.announce(Announcement);
+    Session.announce(announcement("w", 1, 1));
+  }
+
+  static WorkerAnnouncement announcement(const std::string &Id,
+                                         std::uint64_t Life,
+                                         std::uint64_t Sequence) {
+    WorkerAnnouncement Result;
+    Result.Worker.Id = TargetId(Id);
+    Result.Worker.Life = WorkerLife(Life);
+    Result.Worker.Service = ServiceId("service");
+    Result.Sequence = SequenceNumber(Sequence);
+    return Result;
   }
 
   void sync(std::vector<StartOrder> Starts, std::vector<RunName> Stops) {
--- a/tests/runner/AgentSessionTest.cpp
+++ b/tests/runner/AgentSessionTest.cpp
@@ -57,3 +57,86 @@
   REQUIRE(Setup.Worker.Stops >= 1);
   REQUIRE(Setup.Newest.Refused.size() == 1);
 }
+
+// Guards against two runs of each task on a VM: a heartbeat of another program
+// names a worker that started later, and the runs of the worker that is there
+// are reported as ended.
+TEST_CASE("an announcement of another worker ends no runs") {
+  Fixture Setup;
+  Setup.Worker.Listing.Running = {{Setup.Run, "", 50, 0}};
+  Setup.follow(Millis(1000));
+  for (const char *Id : {"other", "w"}) {
+    INFO(Id);
+    Setup.Session.announce(Fixture::announcement(Id, 9, 1));
+    Setup.follow(Millis(1000));
+    REQUIRE(Setup.Newest.Worker);
+    REQUIRE(Setup.Newest.Worker->Id == TargetId("w"));
+    REQUIRE(Setup.Newest.Worker->Life == WorkerLife(1));
+    REQUIRE(Setup.Newest.Running.size() == 1);
+  }
+}
+
+// Guards against a new agent process that takes the first heartbeat for its
+// worker's, whoever sent it.
+TEST_CASE("an unknown worker is reported only once it has confirmed its life") {
+  Fixture Setup;
+  Setup.Worker.Id = TargetId("v");
+  Setup.follow(Millis(500));
+  REQUIRE_FALSE(Setup.Newest.Worker);
+  Setup.Session.announce(Fixture::announcement("v", 1, 1));
+  Setup.follow(Millis(500));
+  REQUIRE(Setup.Newest.Worker);
+  REQUIRE(Setup.Newest.Worker->Id == TargetId("v"));
+}
+
+// Guards against waiting for the next hold, seconds behind a worker that went
+// down, before the runs of its earlier life are reported as ended.
+TEST_CASE("an announced new life is reported once the worker confirms it") {
+  Fixture Setup;
+  Setup.follow(Millis(1000));
+  Setup.Worker.Listing.Life = WorkerLife(2);
+  Setup.Session.announce(Fixture::announcement("w", 2, 1));
+  Setup.follow(Millis(200));
+  REQUIRE(Setup.Newest.Worker);
+  REQUIRE(Setup.Newest.Worker->Life == WorkerLife(2));
+}
+
+// Guards against another program's heartbeats that take all connections to the
+// worker, whose lease would lapse.
+TEST_CASE("few announcements are confirmed at the same time") {
+  Fixture Setup;
+  Setup.follow(Millis(1000));
+  std::size_t Before = Setup.Worker.Holds;
+  for (std::uint64_t Life = 10; Life < 100; ++Life)
+    Setup.Session.announce(Fixture::announcement("other", Life, 1));
+  REQUIRE(Setup.Worker.Holds <= Before + 2);
+  Setup.follow(Millis(1000));
+  REQUIRE(Setup.Newest.Worker);
+}
+
+// Guards against a heartbeat of another program that names the right worker and
+// moves it to a service of which it runs no tasks.
+TEST_CASE("a worker keeps its service for its whole life") {
+  Fixture Setup;
+  Setup.follow(Millis(1000));
+  auto Odd = Fixture::announcement("w", 1, 100);
+  Odd.Worker.Service = ServiceId("listenroom");
+  Setup.Session.announce(Odd);
+  Setup.Session.announce(Fixture::announcement("w", 1, 2));
+  Setup.follow(Millis(500));
+  REQUIRE(Setup.Newest.Worker->Service == ServiceId("service"));
+}
+
+// Guards against a delayed notice of an earlier life: all lasting tasks of the
+// new life under the same id would be moved.
+TEST_CASE("the departure of an earlier life is ignored") {
+  Fixture Setup;
+  Setup.follow(Millis(1000));
+  Setup.Session.leave({TargetId("w"), WorkerLife(7)});
+  Setup.Session.leave({TargetId("other"), WorkerLife(1)});
+  Setup.follow(Millis(500));
+  REQUIRE_FALSE(Setup.Newest.Worker->Draining);
+  Setup.Session.leave({TargetId("w"), std::nullopt});
+  Setup.follow(Millis(500));
+  REQUIRE(Setup.Newest.Worker->Draining);
+}
