--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <variant>
 
 namespace daisyspool::intake {
@@ -19,9 +20,13 @@
 struct Refused {
   Millis RetryAfter{1000};
 };
+/// The store can never hold the job, so submitting it again is of no use.
+struct Unstorable {
+  std::string Detail;
+};
 /// It is unknown whether the job is stored; submitting it again is safe.
 struct Undecided {};
-using SubmitOutcome = std::variant<Accepted, Refused, Undecided>;
+using SubmitOutcome = std::variant<Accepted, Refused, Unstorable, Undecided>;
 
 struct KnownJob {
   scheduling::JobStatus Status = scheduling::JobStatus::Queued;
@@ -42,8 +47,9 @@
 /// Thread safety: call from the I/O thread only; callbacks run there.
 class JobIntake {
 public:
-  JobIntake(EventLoop &Loop, const Clock &Time, rows::RowStore &Store)
-      : Loop(Loop), Time(Time), Store(Store) {}
+  JobIntake(EventLoop &Loop, const Clock &Time, rows::RowStore &Store,
+            const rows::StoreLimits &Limits)
+      : Loop(Loop), Time(Time), Store(Store), Limits(Limits) {}
   JobIntake(const JobIntake &) = delete;
   JobIntake &operator=(const JobIntake &) = delete;
 
@@ -72,6 +78,7 @@
   Millis remainingTime(const Submission &Request) const;
   void reportUndecided(const Submission &Request);
   void reportRefused(const Submission &Request, const char *Cause);
+  void reportUnstorable(const Submission &Request, const std::string &Detail);
   void commitJob(const std::shared_ptr<Submission> &Request);
   void onCommitOutcome(const std::shared_ptr<Submission> &Request,
                        const rows::CommitOutcome &Outcome);
@@ -83,6 +90,7 @@
   EventLoop &Loop;
   const Clock &Time;
   rows::RowStore &Store;
+  rows::StoreLimits Limits;
   /// Start of the first attempt since the store last answered.
   std::optional<TimePoint> UnansweredSince;
   Millis LastResponseTime{0};
--- a/include/daisyspool/intake/Layout.h
+++ b/include/daisyspool/intake/Layout.h
@@ -4,6 +4,7 @@
 #include "daisyspool/core/Ids.h"
 #include "daisyspool/rows/RowStore.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
 rows::RowName cancelRow(const JobId &Job);
 rows::RowName agentRow(const VmId &Vm);
 rows::RowName progressRow(const JobId &Job);
+/// The row with the tasks of \p Job from the number \p FirstTask on, of a job
+/// whose progress does not fit in one row. Sorts after progressRow().
+rows::RowName progressPartRow(const JobId &Job, std::uint32_t FirstTask);
 rows::RowName fenceRow();
 rows::RowName tailModelRow();
 rows::RowName leaderRow();
@@ -44,6 +48,14 @@
 std::optional<JobId> cancelledJobIdFromKey(std::string_view Key);
 std::optional<VmId> agentVmIdFromKey(std::string_view Key);
 
+/// The job, and the first task of a part, that the key of a progress row names.
+struct ProgressKey {
+  JobId Job;
+  std::optional<std::uint32_t> FirstTask;
+};
+/// Errors: throws ProtocolError if the number of the first task is malformed.
+ProgressKey parseProgressKey(std::string_view Key);
+
 } // namespace daisyspool::intake
 
 #endif // DAISYSPOOL_INTAKE_LAYOUT_H
--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -39,6 +39,7 @@
     /// A leader that has not renewed its status for this long is replaced.
     /// Shorter than the lease, as a takeover is safe at any time.
     Millis TakeoverAfter{1600};
+    rows::StoreLimits Limits;
     scheduling::Scheduler::Options Scheduling;
   };
 
@@ -86,9 +87,12 @@
   void scheduleWork();
   void runScheduler();
   void commitChanges();
+  void addTailModel(rows::RowTransaction &Write);
+  void addJobChanges(Transaction &Next);
   void sendTransaction(const std::shared_ptr<Transaction> &Pending);
   void onCommitOutcome(const std::shared_ptr<Transaction> &Pending,
                        const rows::CommitOutcome &Outcome);
+  void onRejected(const Transaction &Rejected, const std::string &Detail);
   void onCommitted(const Transaction &Committed, rows::RowVersion FenceVersion);
   void sendOrders();
   void updateStartHold();
--- a/include/daisyspool/rows/RowStore.h
+++ b/include/daisyspool/rows/RowStore.h
@@ -4,6 +4,7 @@
 #include "daisyspool/core/Clock.h"
 #include "daisyspool/core/Ids.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <variant>
@@ -43,7 +44,18 @@
   std::string Value;
 };
 
-/// Applied atomically. At most 100 conditions, puts and removes in total.
+/// What one store accepts. A row or transaction above its limits is rejected,
+/// however often it is repeated.
+struct StoreLimits {
+  /// Largest value of a row, in bytes.
+  std::size_t RowBytes = 65536;
+  /// Largest request for a transaction, as encodedBytes() estimates it.
+  std::size_t TransactionBytes = 1'000'000;
+  /// Most conditions, puts and removes of a transaction in total.
+  std::size_t TransactionEntries = 100;
+};
+
+/// Applied atomically. Must be within the limits of the store.
 struct RowTransaction {
   std::vector<RowCondition> Conditions;
   std::vector<RowValue> Puts;
@@ -62,13 +74,17 @@
 struct NotApplied {
   std::string Detail;
 };
+/// The store will not apply the transaction, however often it is repeated.
+struct Rejected {
+  std::string Detail;
+};
 /// The transaction may have been applied, or may still be applied later if its
 /// conditions hold then.
 struct OutcomeUnknown {
   std::string Detail;
 };
 using CommitOutcome =
-    std::variant<Committed, Conflict, NotApplied, OutcomeUnknown>;
+    std::variant<Committed, Conflict, NotApplied, Rejected, OutcomeUnknown>;
 
 struct RowPage {
   std::vector<StoredRow> Rows;
@@ -118,6 +134,17 @@
                       std::function<void(FeedOutcome)> Done) = 0;
 };
 
+/// An upper bound for the bytes that a row of the given name lengths and value
+/// takes in the request for a transaction, where values are base64.
+///
+/// Thread safety: safe from any thread.
+constexpr std::size_t encodedBytes(std::size_t NameBytes,
+                                   std::size_t ValueBytes) {
+  constexpr std::size_t FieldBytes = 80;
+  return FieldBytes + NameBytes + (ValueBytes + 2) / 3 * 4;
+}
+std::size_t encodedBytes(const RowTransaction &Transaction);
+
 /// The range that contains only the row \p Name.
 RowRange singleRowRange(const RowName &Name);
 
--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -6,6 +6,7 @@
 #include "daisyspool/workload/JobDefinition.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -74,7 +75,19 @@
   /// Number of tasks with a run, and when it last became 0.
   std::uint32_t AssignedTasks = 0;
   TimePoint IdleSince{};
+  /// Number of tasks in each of the rows that store the tasks, or 0 if one row
+  /// stores the whole progress.
+  std::uint32_t TasksPerRow = 0;
   bool Dirty = false;
+  /// By the number of their first task, the parts of a job in several rows that
+  /// have changed since they were last taken for a transaction.
+  std::set<std::uint32_t> DirtyParts;
+  /// The status of the newest row that was taken, of a job in several rows.
+  std::optional<JobStatus> TakenStatus;
+  /// The store rejected the progress; only the status is stored from then on.
+  bool StatusOnly = false;
+  /// The store rejected even the status.
+  bool Unstorable = false;
   /// Number of waiting tasks whose earlier steps are complete.
   std::uint32_t ReadyTasks = 0;
   /// remainingCriticalPath() and remainingWork(), as of the last
@@ -112,12 +125,38 @@
 /// millicore-milliseconds; the largest value if it is more.
 std::int64_t remainingWork(const JobProgress &Job);
 
-/// Serializes the progress, which is stored beside the job's record.
-std::string encodeProgress(const JobProgress &Job);
-
-/// Restores what encodeProgress() wrote. Errors: throws ProtocolError and
-/// leaves \p Job unchanged.
-void decodeProgress(JobProgress &Job, std::string_view Bytes);
+/// How many tasks of a job fit in one row of at most \p RowBytes, whatever runs
+/// they have; checkpoints not included. Precondition: \p RowBytes is at least
+/// 1,000.
+std::uint32_t tasksPerRow(std::size_t RowBytes);
+
+/// Number of tasks in all occurrences, due or not.
+std::uint64_t taskCount(const JobProgress &Job);
+
+/// The position of a task among all tasks of its job, by occurrence and step.
+std::uint32_t taskNumber(const JobProgress &Job, const TaskName &Task);
+
+/// Serializes the progress, which is stored beside the job's record; without
+/// the tasks of a job in several rows. Checkpoints are left out if the row
+/// would exceed \p RowBytes with them: a successor then starts these tasks
+/// anew.
+std::string encodeProgress(const JobProgress &Job, std::size_t RowBytes);
+
+/// Serializes up to TasksPerRow tasks from number \p FirstTask on, of the
+/// occurrences that are due; checkpoints as in encodeProgress(). Precondition:
+/// the job is in several rows.
+std::string encodePart(const JobProgress &Job, std::uint32_t FirstTask,
+                       std::size_t RowBytes);
+
+/// Restores what encodeProgress() wrote. Returns whether that includes the
+/// tasks. Errors: throws ProtocolError and leaves \p Job unchanged.
+bool decodeProgress(JobProgress &Job, std::string_view Bytes);
+
+/// Restores what encodePart() wrote. The derived fields have to be updated
+/// after the last part. Errors: throws ProtocolError and leaves \p Job
+/// unchanged.
+void decodePart(JobProgress &Job, std::uint32_t FirstTask,
+                std::string_view Bytes);
 
 /// Decodes only the status, for callers' requests. Errors: throws
 /// ProtocolError.
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -8,7 +8,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace daisyspool::scheduling {
@@ -43,20 +46,30 @@
     /// busy fleet, where best-effort batch would only slow down the services.
     Millis StarvedAfter{1000};
     Millis StarvedAfterInBusyFleet{8000};
-    /// Maximum number of jobs in one transaction.
-    std::size_t MaxChanges = 95;
+    /// The largest row that the store accepts.
+    std::size_t RowBytes = 65536;
   };
 
   /// Represents all transactions of earlier leaders; own ones have higher
   /// numbers.
   static constexpr CommitNumber RestoredCommit{1};
 
-  /// The progress of one job, to be stored.
+  /// A changed row of the progress of one job.
   struct Change {
     JobId Job;
+    /// The number of the first task in the row; empty for the row with the
+    /// status.
+    std::optional<std::uint32_t> FirstTask;
     std::string Progress;
   };
 
+  /// What the next transaction can take beside its other rows. The bytes are
+  /// those of rows::encodedBytes().
+  struct Budget {
+    std::size_t Rows = 95;
+    std::size_t Bytes = 900'000;
+  };
+
   explicit Scheduler(Options Config) : Config(Config) {}
   Scheduler(const Scheduler &) = delete;
   Scheduler &operator=(const Scheduler &) = delete;
@@ -65,9 +78,16 @@
   /// since its acceptance.
   void addJob(const workload::JobRecord &Record, Millis Age, TimePoint Now);
 
-  /// Restores the stored progress of an added job. Precondition: schedule()
-  /// has not been called. Errors: throws ProtocolError.
+  /// Restores the stored progress of an added job: the row with the status, and
+  /// one with tasks from \p FirstTask on. Precondition: finishRestoring() has
+  /// not been called. Errors: throws ProtocolError.
   void restore(const JobId &Job, std::string_view Progress, TimePoint Now);
+  void restorePart(const JobId &Job, std::uint32_t FirstTask,
+                   std::string_view Tasks);
+
+  /// Applies the restored parts once all rows have been passed in.
+  /// Precondition: schedule() has not been called.
+  void finishRestoring(TimePoint Now);
 
   /// Cancels a job; returns false if it is not known.
   bool cancel(const JobId &Job);
@@ -96,13 +116,23 @@
   /// Whether takeChanges() would return any change.
   bool hasChanges() const { return !DirtyJobs.empty(); }
 
-  /// Returns the changes to write next, as transaction \p Number.
-  /// Precondition: the earlier transaction is committed.
-  std::vector<Change> takeChanges(CommitNumber Number);
+  /// Returns the changes to write next, as transaction \p Number: those of a
+  /// job together, unless they exceed the whole \p Room. Precondition: the
+  /// earlier transaction is committed or rejected.
+  std::vector<Change> takeChanges(CommitNumber Number, Budget Room);
 
   /// Marks the transaction \p Number as durable.
   void onCommitted(CommitNumber Number);
 
+  /// Takes the transaction \p Number back, which the store will never apply.
+  /// After that the next transactions have half as many jobs each time, until a
+  /// job is rejected alone: it fails, so that it does not hold up the others.
+  /// Returns whether the transaction had any change of a job.
+  bool onRejected(CommitNumber Number);
+
+  /// Whether the job is being searched for that had a transaction rejected.
+  bool isIsolatingJobs() const { return !Suspects.empty(); }
+
   /// Holds start orders back, or no longer. Stops, grants and the assignment of
   /// tasks go on.
   void holdStarts(bool Hold) { StartsHeld = Hold; }
@@ -134,6 +164,16 @@
   using JobMap = std::map<JobId, JobProgress>;
 
   void markDirty(JobProgress &Job);
+  void markDirty(JobProgress &Job, const TaskName &Task);
+  /// The changed rows of a job; its final status comes first.
+  std::vector<Change> changesOf(const JobProgress &Job) const;
+  /// Takes the changes of a job as far as \p Room allows. Returns whether all
+  /// were taken.
+  bool takeJob(JobProgress &Job, Budget &Room, std::vector<Change> &Result);
+  /// Ends a job whose changes the store rejects.
+  void abandon(JobProgress &Job);
+  /// Assigns the restored runs of a job and ends it if its status is final.
+  void restoreRuns(JobProgress &Job, TimePoint Now);
   void endJob(JobProgress &Job, JobStatus Status);
   void applyWorker(VmState &Vm, const runner::SyncReply &Reply);
   void applyEnds(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
@@ -186,6 +226,14 @@
   std::map<VmId, VmState> Vms;
   std::vector<VmState *> VmList;
   std::vector<JobId> DirtyJobs;
+  /// The changes of the newest transaction, by job and first task.
+  std::vector<std::pair<JobId, std::optional<std::uint32_t>>> LastTaken;
+  /// Jobs of a rejected transaction that have not been written since, and how
+  /// many jobs a transaction may have while there are any.
+  std::set<JobId> Suspects;
+  std::size_t MaxJobsWithSuspects = 1;
+  /// Jobs of which a row in parts was read.
+  std::set<JobId> RestoredInParts;
   /// Jobs that have not ended, so that ended jobs need not be scanned.
   std::map<JobId, JobProgress *> UnfinishedJobs;
   workload::FleetConfig Fleet;
--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -5,6 +5,7 @@
 #include "daisyspool/core/Units.h"
 #include "daisyspool/settings/IniFile.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -28,6 +29,8 @@
   http::Endpoint Links;
   http::Endpoint Metrics;
   http::Endpoint Store;
+  /// The largest value of a row that the store accepts.
+  std::size_t StoreRowBytes = 65536;
   Millis MaxLease{6000};
   Millis StopTimeout{400};
   /// The share of processors that this process may use.
--- a/include/daisyspool/workload/Limits.h
+++ b/include/daisyspool/workload/Limits.h
@@ -20,6 +20,8 @@
 inline constexpr double MaxSlackFactor = 100;
 /// Of a clock reading in milliseconds, such as the Unix time: the year 5138.
 inline constexpr std::int64_t MaxClockMillis = 100'000'000'000'000;
+/// Of the text that is passed to each task of a job.
+inline constexpr std::size_t MaxSpecBytes = 4000;
 /// The largest known jobs have 160 tasks.
 inline constexpr std::uint32_t MaxTasks = 5000;
 inline constexpr std::size_t MaxSteps = 100;
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -66,6 +66,11 @@
   Request->StartedAt = Time.now();
   Request->Deadline = Request->StartedAt + Timeout;
   Request->Done = std::move(Done);
+  if (Request->Value.size() > Limits.RowBytes)
+    return reportUnstorable(
+        *Request, "the job takes " + std::to_string(Request->Value.size()) +
+                      " bytes, at most " + std::to_string(Limits.RowBytes) +
+                      " can be stored");
   if (isStoreSilent())
     probeStore(Request);
   else
@@ -123,6 +128,14 @@
   Request.Done(Refused{RefusedRetryAfter});
 }
 
+void JobIntake::reportUnstorable(const Submission &Request,
+                                 const std::string &Detail) {
+  LogEvent(LogLevel::Warning, "job_unstorable")
+      .with("job", Request.Id)
+      .with("detail", Detail);
+  Request.Done(Unstorable{Detail});
+}
+
 void JobIntake::commitJob(const std::shared_ptr<Submission> &Request) {
   ++Request->Attempts;
   Request->AttemptStartedAt = Time.now();
@@ -160,6 +173,9 @@
     return Request->Done(Accepted{});
   }
 
+  if (const auto *Refusal = std::get_if<rows::Rejected>(&Outcome))
+    return reportUnstorable(*Request,
+                            "the store rejects the job: " + Refusal->Detail);
   if (!Request->MayBeStored && Elapsed >= RefusalTimeout)
     return reportRefused(*Request, "store_unavailable");
   if (Elapsed >= adaptiveTimeout(UndecidedTimeout) ||
@@ -239,7 +255,8 @@
                        .with("job", Request->Id);
                    return Request->Done(CancelAccepted{});
                  }
-                 if (Time.now() + RetryDelay >= Request->Deadline)
+                 bool IsFinal = std::holds_alternative<rows::Rejected>(Outcome);
+                 if (IsFinal || Time.now() + RetryDelay >= Request->Deadline)
                    return Request->Done(StoreUnavailable{});
                  Request->RetryTimer->start(
                      RetryDelay, [this, Request, Self = std::weak_ptr(Alive)] {
--- a/src/intake/Layout.cpp
+++ b/src/intake/Layout.cpp
@@ -1,5 +1,10 @@
 #include "daisyspool/intake/Layout.h"
 
+#include "daisyspool/core/Errors.h"
+
+#include <algorithm>
+#include <charconv>
+
 namespace daisyspool::intake {
 
 namespace {
@@ -12,6 +17,9 @@
   return std::string(Prefix) + Id;
 }
 
+/// Does not occur in the id of a job.
+constexpr char PartSeparator = '.';
+
 template <typename Id>
 std::optional<Id> idFromKey(std::string_view Prefix, std::string_view Key) {
   if (!Key.starts_with(Prefix))
@@ -59,6 +67,14 @@
   return {ProgressTable, LeaderPartition, Job.str()};
 }
 
+rows::RowName progressPartRow(const JobId &Job, std::uint32_t FirstTask) {
+  // Padded, so that the parts of a job are read in their order.
+  constexpr std::size_t Digits = 6;
+  std::string Number = std::to_string(FirstTask);
+  Number.insert(0, Digits - std::min(Digits, Number.size()), '0');
+  return {ProgressTable, LeaderPartition, Job.str() + PartSeparator + Number};
+}
+
 rows::RowName fenceRow() { return {FenceTable, LeaderPartition, "fence"}; }
 
 rows::RowName tailModelRow() {
@@ -79,4 +95,20 @@
   return idFromKey<VmId>(AgentPrefix, Key);
 }
 
+ProgressKey parseProgressKey(std::string_view Key) {
+  std::size_t Separator = Key.find(PartSeparator);
+  ProgressKey Result{JobId(std::string(Key.substr(0, Separator))), {}};
+  if (Separator == std::string_view::npos)
+    return Result;
+
+  std::string_view Text = Key.substr(Separator + 1);
+  std::uint32_t Number = 0;
+  auto [End, Failure] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Failure != std::errc{} || End != Text.data() + Text.size())
+    throw ProtocolError("progress row: malformed key " + std::string(Key));
+  Result.FirstTask = Number;
+  return Result;
+}
+
 } // namespace daisyspool::intake
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -36,6 +36,10 @@
                     onStatusRows(Rows);
                   }),
       TickTimer(Loop.timer()) {
+  // Leaves room for the other rows of a transaction, whose values are base64.
+  const rows::StoreLimits &Limits = this->Config.Limits;
+  this->Config.Scheduling.RowBytes =
+      std::min(Limits.RowBytes, Limits.TransactionBytes / 2);
   startTick();
 }
 
@@ -154,14 +158,9 @@
   if (RenewsStatus)
     Next->Write.Puts.push_back({intake::leaderRow(), encode(ownStatus(false))});
   if (RenewsStatus && Leadership->Loaded)
-    Next->Write.Puts.push_back(
-        {intake::tailModelRow(),
-         Leadership->JobScheduler.encodeTailModel(Time.now())});
+    addTailModel(Next->Write);
   if (Leadership->Loaded)
-    for (auto &Change :
-         Leadership->JobScheduler.takeChanges(CommitNumber(Next->Number)))
-      Next->Write.Puts.push_back(
-          {intake::progressRow(Change.Job), std::move(Change.Progress)});
+    addJobChanges(*Next);
   // A repetition keeps the start time of the first attempt, as the store may
   // have applied that one.
   Next->StartedAt = Time.now();
@@ -169,6 +168,39 @@
   sendTransaction(Next);
 }
 
+/// The model is not required, so it must not have a transaction rejected.
+void LeaderDuty::addTailModel(rows::RowTransaction &Write) {
+  if (Leadership->TailModelRejected ||
+      Leadership->JobScheduler.isIsolatingJobs())
+    return;
+  std::string Model = Leadership->JobScheduler.encodeTailModel(Time.now());
+  if (Model.size() > Config.Limits.RowBytes) {
+    Leadership->TailModelRejected = true;
+    LogEvent(LogLevel::Error, "tail_model_unstorable")
+        .with("bytes", static_cast<std::int64_t>(Model.size()));
+    return;
+  }
+  Write.Puts.push_back({intake::tailModelRow(), std::move(Model)});
+}
+
+void LeaderDuty::addJobChanges(Transaction &Next) {
+  const rows::StoreLimits &Limits = Config.Limits;
+  rows::RowTransaction &Write = Next.Write;
+  std::size_t Entries = Write.Conditions.size() + Write.Puts.size();
+  std::size_t Bytes = encodedBytes(Write);
+  Scheduler::Budget Room;
+  Room.Rows =
+      Limits.TransactionEntries - std::min(Limits.TransactionEntries, Entries);
+  Room.Bytes =
+      Limits.TransactionBytes - std::min(Limits.TransactionBytes, Bytes);
+  for (auto &Change :
+       Leadership->JobScheduler.takeChanges(CommitNumber(Next.Number), Room))
+    Write.Puts.push_back({Change.FirstTask ? intake::progressPartRow(
+                                                 Change.Job, *Change.FirstTask)
+                                           : intake::progressRow(Change.Job),
+                          std::move(Change.Progress)});
+}
+
 void LeaderDuty::sendTransaction(const std::shared_ptr<Transaction> &Pending) {
   Store.commit(Pending->Write, CallTimeout,
                [this, Pending](const rows::CommitOutcome &Outcome) {
@@ -190,6 +222,8 @@
         return onCommitted(*Pending, Row.Version);
     return stepDown("fenced_off");
   }
+  if (const auto *Refusal = std::get_if<rows::Rejected>(&Outcome))
+    return onRejected(*Pending, Refusal->Detail);
 
   LogEvent(LogLevel::Warning, "commit_unsettled")
       .with("transaction", static_cast<std::int64_t>(Pending->Number))
@@ -204,6 +238,26 @@
   });
 }
 
+/// Load pattern: one job is too large for the store. Repeating its transaction
+/// would hold up all other jobs and the renewal of the leader's status.
+void LeaderDuty::onRejected(const Transaction &Rejected,
+                            const std::string &Detail) {
+  LogEvent(LogLevel::Error, "commit_rejected")
+      .with("transaction", static_cast<std::int64_t>(Rejected.Number))
+      .with("rows", static_cast<std::int64_t>(Rejected.Write.Puts.size()))
+      .with("bytes", static_cast<std::int64_t>(encodedBytes(Rejected.Write)))
+      .with("detail", Detail);
+  bool HadChanges =
+      Leadership->JobScheduler.onRejected(CommitNumber(Rejected.Number));
+  // Only the fence, the status and the model are left to blame.
+  if (!HadChanges && std::exchange(Leadership->TailModelRejected, true))
+    return stepDown("store_rejects_status");
+  Leadership->Committing = false;
+  if (auto Done = std::move(Leadership->PendingClose))
+    return close(std::move(Done));
+  commitChanges();
+}
+
 void LeaderDuty::onCommitted(const Transaction &Committed,
                              rows::RowVersion FenceVersion) {
   Leadership->Committing = false;
--- a/src/leadership/LeaderState.h
+++ b/src/leadership/LeaderState.h
@@ -53,6 +53,8 @@
   bool IntakeRead = false;
   bool Committing = false;
   bool WorkScheduled = false;
+  /// The store does not accept the row of the tail model.
+  bool TailModelRejected = false;
   /// The callback of close(); set while it waits for the transaction in flight.
   std::function<void()> PendingClose;
   std::map<VmId, http::Endpoint> Agents;
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -162,8 +162,10 @@
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
     return confirmTakeover(Attempt);
 
-  LogEvent(LogLevel::Info, "leader_takeover_lost")
-      .with("epoch", Attempt.OwnFence.Leader.Term);
+  const auto *Refusal = std::get_if<rows::Rejected>(&Outcome);
+  LogEvent(Refusal ? LogLevel::Error : LogLevel::Info, "leader_takeover_lost")
+      .with("epoch", Attempt.OwnFence.Leader.Term)
+      .with("detail", Refusal ? Refusal->Detail : "not_applied");
   TakingOver = false;
   // Another process may just have taken over; gives it time for its first
   // renewal.
@@ -284,11 +286,15 @@
 
   for (const rows::StoredRow &Row : Page->Rows) {
     try {
-      Leadership->JobScheduler.restore(JobId(Row.Name.Key), Row.Value,
-                                       Time.now());
+      intake::ProgressKey Key = intake::parseProgressKey(Row.Name.Key);
+      if (Key.FirstTask)
+        Leadership->JobScheduler.restorePart(Key.Job, *Key.FirstTask,
+                                             Row.Value);
+      else
+        Leadership->JobScheduler.restore(Key.Job, Row.Value, Time.now());
     } catch (const ProtocolError &Problem) {
       LogEvent(LogLevel::Error, "progress_unreadable")
-          .with("job", Row.Name.Key)
+          .with("key", Row.Name.Key)
           .with("detail", Problem.what());
     }
   }
@@ -318,6 +324,7 @@
 }
 
 void LeaderDuty::finishLoading() {
+  Leadership->JobScheduler.finishRestoring(Time.now());
   Leadership->JobScheduler.assumeGrants(Leadership->EarlierGrantsEnd);
   Leadership->Loaded = true;
   LogEvent(LogLevel::Info, "leader_loaded")
--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -3,10 +3,12 @@
 #include "daisyspool/core/Errors.h"
 #include "daisyspool/wire/Adaptors.h"
 #include "daisyspool/wire/Document.h"
+#include "daisyspool/workload/Limits.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <limits>
 
 namespace daisyspool::scheduling {
@@ -23,7 +25,9 @@
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
-void pack(Packer &To, const TaskProgress &Task) {
+enum class Checkpoints : bool { LeftOut, Included };
+
+void pack(Packer &To, const TaskProgress &Task, Checkpoints Mode) {
   if (Task.Phase == TaskPhase::Done) {
     To.pack(DoneTask);
     return;
@@ -39,7 +43,7 @@
   To.pack(Task.Failures);
   To.pack(Task.Vm);
   To.pack(Task.Life);
-  To.pack(Task.Checkpoint);
+  To.pack(Mode == Checkpoints::Included ? Task.Checkpoint : std::string());
 }
 
 TaskProgress taskFromJson(const json &From) {
@@ -60,7 +64,7 @@
   return Task;
 }
 
-void pack(Packer &To, const OccurrenceProgress &Occurrence) {
+void pack(Packer &To, const OccurrenceProgress &Occurrence, Checkpoints Mode) {
   To.pack_array(static_cast<std::uint32_t>(Occurrence.Steps.size()));
   for (const StepProgress &Step : Occurrence.Steps) {
     if (Step.isComplete()) {
@@ -69,8 +73,39 @@
     }
     To.pack_array(static_cast<std::uint32_t>(Step.Tasks.size()));
     for (const TaskProgress &Task : Step.Tasks)
-      pack(To, Task);
+      pack(To, Task, Mode);
+  }
+}
+
+std::string encodeRow(const JobProgress &Job, bool WithTasks,
+                      Checkpoints Mode) {
+  msgpack::sbuffer Buffer;
+  Packer To(Buffer);
+  bool InParts = Job.TasksPerRow != 0;
+  To.pack_array(WithTasks || InParts ? 2 : 1);
+  To.pack(static_cast<int>(Job.Status));
+  if (InParts)
+    To.pack(Job.TasksPerRow);
+  if (WithTasks) {
+    To.pack_array(static_cast<std::uint32_t>(Job.Occurrences.size()));
+    for (const OccurrenceProgress &Occurrence : Job.Occurrences)
+      pack(To, Occurrence, Mode);
   }
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// Encodes with checkpoints if the result is within the limit, else without.
+template <typename Encoder>
+std::string encodeWithin(std::size_t RowBytes, Encoder Encode) {
+  std::string Result = Encode(Checkpoints::Included);
+  return Result.size() <= RowBytes ? Result : Encode(Checkpoints::LeftOut);
+}
+
+void countDone(StepProgress &Step) {
+  Step.Done = static_cast<std::uint32_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), [](const auto &Task) {
+        return Task.Phase == TaskPhase::Done;
+      }));
 }
 
 void stepFromJson(StepProgress &Step, const json &From) {
@@ -82,10 +117,7 @@
     for (std::size_t I = 0; I < Step.Tasks.size(); ++I)
       Step.Tasks[I] = taskFromJson(From.at(I));
   }
-  Step.Done = static_cast<std::uint32_t>(
-      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), [](const auto &Task) {
-        return Task.Phase == TaskPhase::Done;
-      }));
+  countDone(Step);
 }
 
 JobStatus statusFromJson(const json &Whole) {
@@ -106,6 +138,39 @@
   return std::max(1U, Job.Record.Definition.Repeats.Times);
 }
 
+std::uint32_t tasksPerOccurrence(const JobProgress &Job) {
+  std::uint32_t Sum = 0;
+  for (const auto &Step : Job.Record.Definition.Steps)
+    Sum += Step.Count;
+  return Sum;
+}
+
+/// The task with the number \p Number; its occurrence may not be due yet.
+TaskName taskAt(const JobProgress &Job, std::uint32_t Number) {
+  std::uint32_t PerOccurrence = tasksPerOccurrence(Job);
+  TaskName Result{Job.Record.Id, Number / PerOccurrence, 0,
+                  Number % PerOccurrence};
+  for (const auto &Step : Job.Record.Definition.Steps) {
+    if (Result.Index < Step.Count)
+      break;
+    Result.Index -= Step.Count;
+    ++Result.Step;
+  }
+  return Result;
+}
+
+/// The task that follows \p Task in the order of numbers.
+void advance(const JobProgress &Job, TaskName &Task) {
+  const auto &Steps = Job.Record.Definition.Steps;
+  if (++Task.Index < Steps[Task.Step].Count)
+    return;
+  Task.Index = 0;
+  if (++Task.Step < Steps.size())
+    return;
+  Task.Step = 0;
+  ++Task.Occurrence;
+}
+
 /// A product or sum that is the largest value instead of overflowing.
 /// Precondition: the operands are not negative.
 std::int64_t clampedProduct(std::int64_t A, std::int64_t B) {
@@ -213,32 +278,75 @@
   return Sum;
 }
 
-std::string encodeProgress(const JobProgress &Job) {
+std::uint32_t tasksPerRow(std::size_t RowBytes) {
+  // The name of a VM is at most 200 bytes, as it is part of a key.
+  constexpr std::size_t MaxTaskBytes = 230;
+  constexpr std::size_t OtherBytes = 16;
+  // Smaller rows than the limit allows, as a change rewrites the whole row.
+  constexpr std::size_t MaxTasks = 200;
+  assert(RowBytes >= 1000);
+  return static_cast<std::uint32_t>(
+      std::min(MaxTasks, (RowBytes - OtherBytes) / MaxTaskBytes));
+}
+
+std::uint64_t taskCount(const JobProgress &Job) {
+  return std::uint64_t(tasksPerOccurrence(Job)) * maxOccurrences(Job);
+}
+
+std::uint32_t taskNumber(const JobProgress &Job, const TaskName &Task) {
+  std::uint32_t Result = Task.Occurrence * tasksPerOccurrence(Job) + Task.Index;
+  for (std::uint32_t I = 0; I < Task.Step; ++I)
+    Result += Job.Record.Definition.Steps[I].Count;
+  return Result;
+}
+
+std::string encodeProgress(const JobProgress &Job, std::size_t RowBytes) {
   // Runs of a cancelled job are kept until they have ended, so that the next
   // leader stops them too.
-  bool WithTasks = !isFinal(Job.Status) || !assignedTasks(Job).empty();
-  msgpack::sbuffer Buffer;
-  Packer To(Buffer);
-  To.pack_array(WithTasks ? 2 : 1);
-  To.pack(static_cast<int>(Job.Status));
-  if (WithTasks) {
-    To.pack_array(static_cast<std::uint32_t>(Job.Occurrences.size()));
-    for (const OccurrenceProgress &Occurrence : Job.Occurrences)
-      pack(To, Occurrence);
-  }
-  return {Buffer.data(), Buffer.size()};
+  bool WithTasks = !Job.StatusOnly && Job.TasksPerRow == 0 &&
+                   (!isFinal(Job.Status) || !assignedTasks(Job).empty());
+  return encodeWithin(RowBytes, [&](Checkpoints Mode) {
+    return encodeRow(Job, WithTasks, Mode);
+  });
+}
+
+std::string encodePart(const JobProgress &Job, std::uint32_t FirstTask,
+                       std::size_t RowBytes) {
+  std::uint64_t DueTasks =
+      std::uint64_t(tasksPerOccurrence(Job)) * Job.Occurrences.size();
+  std::uint64_t End =
+      std::min<std::uint64_t>(DueTasks, FirstTask + Job.TasksPerRow);
+  auto Count =
+      static_cast<std::uint32_t>(End - std::min<std::uint64_t>(FirstTask, End));
+  return encodeWithin(RowBytes, [&](Checkpoints Mode) {
+    msgpack::sbuffer Buffer;
+    Packer To(Buffer);
+    To.pack_array(Count);
+    TaskName Task = taskAt(Job, FirstTask);
+    for (std::uint32_t I = 0; I < Count; ++I, advance(Job, Task))
+      pack(To,
+           Job.Occurrences[Task.Occurrence].Steps[Task.Step].Tasks[Task.Index],
+           Mode);
+    return std::string(Buffer.data(), Buffer.size());
+  });
 }
 
-void decodeProgress(JobProgress &Job, std::string_view Bytes) {
+bool decodeProgress(JobProgress &Job, std::string_view Bytes) {
   try {
     json Whole = wire::parseMsgpack(Bytes);
     JobStatus Status = statusFromJson(Whole);
     if (Whole.size() < 2) {
       Job.Status = Status;
-      return;
+      return false;
     }
 
     const json &From = Whole.at(1);
+    if (From.is_number()) {
+      Job.TasksPerRow = static_cast<std::uint32_t>(wholeNumber(
+          From, 1, static_cast<std::int64_t>(workload::MaxTaskOccurrences)));
+      Job.Status = Status;
+      return false;
+    }
     if (From.size() > maxOccurrences(Job))
       throw ProtocolError("stored progress: more occurrences than the job has");
     // The job is unchanged if this throws: a task that is assigned but not
@@ -252,6 +360,36 @@
     Job.Status = Status;
     Job.Occurrences = std::move(Occurrences);
     updateDerivedFields(Job);
+    return true;
+  } catch (const json::exception &Problem) {
+    throw ProtocolError(std::string("stored progress: ") + Problem.what());
+  }
+}
+
+void decodePart(JobProgress &Job, std::uint32_t FirstTask,
+                std::string_view Bytes) {
+  try {
+    json From = wire::parseMsgpack(Bytes);
+    if (!From.is_array() || FirstTask >= taskCount(Job) ||
+        From.size() > taskCount(Job) - FirstTask)
+      throw ProtocolError("stored progress: more tasks than the job has");
+    // The job is unchanged if this throws.
+    std::vector<TaskProgress> Decoded;
+    Decoded.reserve(From.size());
+    for (const json &Each : From)
+      Decoded.push_back(taskFromJson(Each));
+
+    TaskName Task = taskAt(Job, FirstTask);
+    std::uint32_t FirstOccurrence = Task.Occurrence;
+    for (TaskProgress &Each : Decoded) {
+      if (Job.Occurrences.size() <= Task.Occurrence)
+        Job.Occurrences.push_back(newOccurrence(Job));
+      *Job.findTask(Task) = std::move(Each);
+      advance(Job, Task);
+    }
+    for (std::size_t K = FirstOccurrence; K < Job.Occurrences.size(); ++K)
+      for (StepProgress &Step : Job.Occurrences[K].Steps)
+        countDone(Step);
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("stored progress: ") + Problem.what());
   }
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -145,9 +145,9 @@
         decrementAssignedTasks(Job);
       Step.Tasks[N].Phase = TaskPhase::Done;
       ++Step.Done;
+      markDirty(Job, {Name.Job, Name.Occurrence, Name.Step, N});
     }
   updateDerivedFields(Job);
-  markDirty(Job);
   if (!isFinal(Job.Status) && isComplete(Job))
     endJob(Job, JobStatus::Completed);
 }
@@ -159,9 +159,10 @@
   avoidVm(Name, Vm.Id);
   // A gang fails as a whole.
   for (std::uint32_t N = 0; N < Tasks.size(); ++N)
-    if (Step.Gang || N == Name.Index)
+    if (Step.Gang || N == Name.Index) {
       ++Tasks[N].Failures;
-  markDirty(Job);
+      markDirty(Job, {Name.Job, Name.Occurrence, Name.Step, N});
+    }
 
   // Load pattern: a worker on which every task fails ends them at once, looks
   // idle and would attract the whole queue.
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -32,8 +32,8 @@
 
 /// The positive number at a key, or \p Default without a value.
 double positiveNumberOr(IniFile &File, std::string_view Section,
-                        std::string_view Key, double Default) {
-  constexpr double Max = 1000;
+                        std::string_view Key, double Default,
+                        std::int64_t Max) {
   std::string Text = File.textOr(Section, Key, "");
   if (Text.empty())
     return Default;
@@ -42,16 +42,29 @@
   auto [End, Failure] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
   bool Whole = Failure == std::errc{} && End == Text.data() + Text.size();
-  if (!Whole || !(Value > 0 && Value <= Max))
-    File.fail(Section, Key, "a number above 0 and up to 1000");
+  if (!Whole || !(Value > 0 && Value <= static_cast<double>(Max)))
+    File.fail(Section, Key,
+              "a number above 0 and up to " + std::to_string(Max));
   return Value;
 }
 
+/// The largest row of the store, or \p Default without a value.
+std::size_t rowBytesOr(IniFile &File, std::size_t Default) {
+  constexpr double Min = 1000;
+  constexpr std::int64_t Max = 1'000'000'000;
+  double Value = positiveNumberOr(File, "store", "row_bytes",
+                                  static_cast<double>(Default), Max);
+  if (Value < Min)
+    File.fail("store", "row_bytes", "at least 1000 bytes");
+  return static_cast<std::size_t>(Value);
+}
+
 /// The product of a process's share of a core and the speed of that core;
 /// shares below a thousandth count as one.
 MilliCores processors(IniFile &File) {
-  double Share = positiveNumberOr(File, "capacity", "cpu_share", 1);
-  double Cores = positiveNumberOr(File, "capacity", "cores", 1);
+  constexpr std::int64_t Max = 1000;
+  double Share = positiveNumberOr(File, "capacity", "cpu_share", 1, Max);
+  double Cores = positiveNumberOr(File, "capacity", "cores", 1, Max);
   return MilliCores(
       std::max<std::int64_t>(1, std::llround(Share * Cores * 1000)));
 }
@@ -69,6 +82,7 @@
   Result.Links = File.endpoint("listen", "links");
   Result.Metrics = File.endpoint("listen", "metrics");
   Result.Store = File.endpoint("store", "address");
+  Result.StoreRowBytes = rowBytesOr(File, Result.StoreRowBytes);
   Result.Worker = optionalEndpoint(File, "worker", "address");
   Result.MaxLease =
       millisecondsOr(File, "bounds", "max_lease_ms", Result.MaxLease);
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -58,6 +58,49 @@
   requireNoViolations(Fleet);
 }
 
+// Guards against one large job that stops all work: the store rejects its
+// progress, and each leader repeats the transaction.
+TEST_CASE("a job of 5000 tasks does not stop the other jobs") {
+  VirtualFleet Fleet(5, 3, 11, {MilliCores(16000), MebiBytes(64000), {}});
+  Fleet.Loop.runFor(Millis(3000));
+  submitJobs(Fleet, 4);
+  auto Large = chainJob("large", 1, 5000, 5);
+  Large.Definition.Steps[0].Needs.Memory = MebiBytes(8);
+  Fleet.submit(0, Large, Millis(1000));
+  Fleet.Loop.runFor(Millis(300));
+  Fleet.killEntry(Fleet.leader());
+  Fleet.Loop.runFor(Millis(200));
+  submitJobs(Fleet, 8);
+  REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(30)));
+  REQUIRE(Fleet.AcceptedJobs.count(JobId("large")) == 1);
+  requireNoViolations(Fleet);
+}
+
+// Guards against a store's final refusal that is taken for a passing one: the
+// leader would repeat it, renew nothing, and be replaced by one that repeats it
+// too.
+TEST_CASE("a job whose progress the store rejects does not stop the others") {
+  auto Large = chainJob("bad", 1, 300, 5);
+  for (const char *RejectedKey : {"bad", "bad."}) {
+    INFO(RejectedKey);
+    VirtualFleet Fleet(6, 3, 4);
+    Fleet.Store.RejectedKey = RejectedKey;
+    Fleet.Loop.runFor(Millis(3000));
+    std::size_t Leader = Fleet.leader();
+    Fleet.submit(0, Large, Millis(600));
+    submitJobs(Fleet, 8);
+    Fleet.Loop.runFor(Millis(10000));
+    REQUIRE(Fleet.leader() == Leader);
+    for (int I = 0; I < 8; ++I)
+      REQUIRE(Fleet.status(JobId("job" + std::to_string(I))) ==
+              JobStatus::Completed);
+    REQUIRE(Fleet.Store.Rejections < 10);
+    if (Fleet.Store.RejectedKey == "bad.")
+      REQUIRE(Fleet.status(JobId("bad")) == JobStatus::Failed);
+    requireNoViolations(Fleet);
+  }
+}
+
 // Guards against jobs that do not complete although no fault is injected.
 TEST_CASE("jobs submitted to all entries complete without faults") {
   VirtualFleet Fleet(1, 3, 4);
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -189,7 +189,7 @@
     Entry(VirtualFleet &Owner, std::size_t Number)
         : Alive(std::make_shared<bool>(true)), Cpu(Owner.Loop, Alive),
           Store(Owner.Store, "entry" + std::to_string(Number), Alive, &Cpu),
-          Intake(Cpu, Owner.Loop, Store),
+          Intake(Cpu, Owner.Loop, Store, Owner.Store.Limits),
           Leader(
               Cpu, Owner.Loop, Store,
               [&Owner, this](const http::Endpoint &Agent) {
@@ -209,6 +209,7 @@
       Result.Process = ProcessId("entry" + std::to_string(Number));
       Result.ProcessIncarnation =
           Incarnation(static_cast<std::uint64_t>(Owner.Loop.wallNow().count()));
+      Result.Limits = Owner.Store.Limits;
       auto Set = Owner.Processors.find(Number);
       if (Set != Owner.Processors.end())
         Result.Processors = Set->second;
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -33,12 +33,35 @@
   /// once.
   bool ApplyLostWritesLate = false;
   Millis Delay{4};
+  rows::StoreLimits Limits;
+  /// Rows of keys that begin so are rejected.
+  std::string RejectedKey;
+  std::size_t Rejections = 0;
   /// Changes before this version are no longer available.
   rows::RowVersion HistoryTrimmedTo;
 
   rows::RowVersion version() const { return rows::RowVersion(Version); }
 
+  bool accepts(const rows::RowTransaction &Transaction) const {
+    std::size_t Entries = Transaction.Conditions.size() +
+                          Transaction.Puts.size() + Transaction.Removes.size();
+    if (Entries > Limits.TransactionEntries ||
+        encodedBytes(Transaction) > Limits.TransactionBytes)
+      return false;
+    return std::all_of(
+        Transaction.Puts.begin(), Transaction.Puts.end(),
+        [this](const rows::RowValue &Put) {
+          bool KeyRejected =
+              !RejectedKey.empty() && Put.Name.Key.starts_with(RejectedKey);
+          return Put.Value.size() <= Limits.RowBytes && !KeyRejected;
+        });
+  }
+
   rows::CommitOutcome apply(const rows::RowTransaction &Transaction) {
+    if (!accepts(Transaction)) {
+      ++Rejections;
+      return rows::Rejected{"above the limits"};
+    }
     std::vector<rows::StoredRow> Current;
     bool ConditionsHold = true;
     for (const auto &Condition : Transaction.Conditions) {
--- a/tests/intake/JobIntakeTest.cpp
+++ b/tests/intake/JobIntakeTest.cpp
@@ -16,22 +16,23 @@
   VirtualStore Store{Loop, Random};
   AliveFlag Alive = std::make_shared<bool>(true);
   StoreConnection Connection{Store, "p", Alive};
-  JobIntake Intake{Loop, Loop, Connection};
+  JobIntake Intake{Loop, Loop, Connection, {}};
   /// The answer to the newest submission.
   std::optional<SubmitOutcome> Answer;
   std::string NewestId;
   TimePoint AnsweredAt{};
 
-  void submit(const std::string &Id) {
+  void submit(const std::string &Id) { submit(chainJob(Id, 1, 1)); }
+  void submit(const workload::JobRecord &Job) {
+    std::string Id = Job.Id.str();
     Answer.reset();
     NewestId = Id;
-    Intake.submit(chainJob(Id, 1, 1), Millis(2500),
-                  [this, Id](const SubmitOutcome &Outcome) {
-                    if (Id != NewestId)
-                      return;
-                    Answer = Outcome;
-                    AnsweredAt = Loop.now();
-                  });
+    Intake.submit(Job, Millis(2500), [this, Id](const SubmitOutcome &Outcome) {
+      if (Id != NewestId)
+        return;
+      Answer = Outcome;
+      AnsweredAt = Loop.now();
+    });
   }
 
   bool isStored(const std::string &Id) const {
@@ -190,3 +191,24 @@
   QueryAndCancel("a");
   REQUIRE(std::holds_alternative<StoreUnavailable>(*Status));
 }
+
+// Guards against accepting a job that the store cannot hold, and against a
+// caller that is told to repeat it.
+TEST_CASE("a job that cannot be stored is refused at once with the reason") {
+  Fixture Setup;
+  auto Job = chainJob("a", 100, 1);
+  for (auto &Step : Job.Definition.Steps)
+    Step.Image = workload::ImageId(std::string(700, 'i'));
+  Setup.submit(Job);
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::get<Unstorable>(*Setup.Answer).Detail.find("65536") !=
+          std::string::npos);
+  REQUIRE(Setup.Store.version() == rows::RowVersion());
+
+  Setup.Store.RejectedKey = "job-b";
+  Setup.submit("b");
+  Setup.Loop.runFor(Millis(100));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Unstorable>(*Setup.Answer));
+  REQUIRE(Setup.Store.Rejections == 1);
+}
--- a/tests/platform_adapter/DecodeTest.cpp
+++ b/tests/platform_adapter/DecodeTest.cpp
@@ -56,6 +56,12 @@
         R"({"steps":[{"count":1},{"after":[1]}]})",
         R"({"steps":[{"count":6000}]})", R"({"steps":5})"})
     REQUIRE_THROWS_AS(decodeJobBody(Bad), ProtocolError);
+  auto WithSpec = [](std::size_t Bytes) {
+    return R"({"spec":")" + std::string(Bytes, 's') +
+           R"(","steps":[{"count":1}]})";
+  };
+  REQUIRE(decodeJobBody(WithSpec(4000)).Spec.size() == 4000);
+  REQUIRE_THROWS_AS(decodeJobBody(WithSpec(4001)), ProtocolError);
 }
 
 // Guards against accepting a worker whose announcement, which another program
--- a/tests/platform_adapter/RowStoreClientTest.cpp
+++ b/tests/platform_adapter/RowStoreClientTest.cpp
@@ -71,7 +71,11 @@
   REQUIRE(std::get<rows::Conflict>(Bad).Current.at(0).Value == "v1");
   for (int Status : {429, 503})
     REQUIRE(std::holds_alternative<rows::NotApplied>(Store.commit(Status, "")));
-  REQUIRE(std::holds_alternative<rows::OutcomeUnknown>(Store.commit(500, "")));
+  for (int Status : {400, 403, 413})
+    REQUIRE(std::holds_alternative<rows::Rejected>(Store.commit(Status, "")));
+  for (int Status : {408, 500, 507})
+    REQUIRE(
+        std::holds_alternative<rows::OutcomeUnknown>(Store.commit(Status, "")));
   REQUIRE(std::holds_alternative<rows::OutcomeUnknown>(
       Store.commit(200, "<html>")));
 }
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -1,8 +1,12 @@
 #include "daisyspool/scheduling/scheduling.h"
 
+#include "daisyspool/rows/RowStore.h"
+
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 
 using namespace daisyspool;
@@ -78,7 +82,7 @@
     Subject.schedule(Now, Wall);
     while (Subject.hasChanges()) {
       CommitNumber Number(++Commits);
-      Subject.takeChanges(Number);
+      Subject.takeChanges(Number, {});
       Subject.onCommitted(Number);
     }
   }
@@ -131,7 +135,7 @@
   REQUIRE_FALSE(Setup.Subject.hasOrders(VmId("vm0")));
   REQUIRE(
       Setup.Subject.nextSync(VmId("vm0"), Epoch(1), Setup.Now).Starts.empty());
-  Setup.Subject.takeChanges(CommitNumber(2));
+  Setup.Subject.takeChanges(CommitNumber(2), {});
   REQUIRE_FALSE(Setup.Subject.hasOrders(VmId("vm0")));
   Setup.Subject.onCommitted(CommitNumber(2));
   REQUIRE(
@@ -301,7 +305,7 @@
     Fixture Setup(1);
     Setup.Subject.addJob(job("a", 2, 1000), Millis(0), Setup.Now);
     Setup.Subject.schedule(Setup.Now, Wall);
-    Progress = Setup.Subject.takeChanges(CommitNumber(2)).at(0).Progress;
+    Progress = Setup.Subject.takeChanges(CommitNumber(2), {}).at(0).Progress;
   }
   Fixture Setup(1);
   Setup.Subject.addJob(job("a", 2, 1000), Millis(0), Setup.Now);
@@ -425,3 +429,158 @@
   REQUIRE(PlacedBeside(50) == 1);
   REQUIRE(PlacedBeside(70) == 0);
 }
+
+namespace {
+
+using Rows =
+    std::map<std::pair<JobId, std::optional<std::uint32_t>>, std::string>;
+
+/// Commits all changes and returns the number of transactions. Requires that
+/// each is within the limits of the store.
+std::size_t commitAll(Fixture &Setup, Rows &Stored) {
+  std::size_t Transactions = 0;
+  while (Setup.Subject.hasChanges()) {
+    Scheduler::Budget Room;
+    CommitNumber Number(++Setup.Commits);
+    auto Changes = Setup.Subject.takeChanges(Number, Room);
+    REQUIRE(Changes.size() <= Room.Rows);
+    std::size_t Bytes = 0;
+    for (auto &Change : Changes) {
+      REQUIRE(Change.Progress.size() <= 65536);
+      Bytes += rows::encodedBytes(40, Change.Progress.size());
+      Stored[{Change.Job, Change.FirstTask}] = std::move(Change.Progress);
+    }
+    REQUIRE(Bytes <= Room.Bytes);
+    Setup.Subject.onCommitted(Number);
+    ++Transactions;
+  }
+  return Transactions;
+}
+
+void restoreAll(Scheduler &Subject, const Rows &Stored, TimePoint Now) {
+  for (const auto &[Key, Value] : Stored)
+    if (Key.second)
+      Subject.restorePart(Key.first, *Key.second, Value);
+    else
+      Subject.restore(Key.first, Value, Now);
+  Subject.finishRestoring(Now);
+}
+
+} // namespace
+
+// Guards against a job that the store never accepts: nothing that is decided
+// after it would be carried out.
+TEST_CASE("the progress of the largest jobs is within the store's limits") {
+  workload::JobRecord Wide = job("wide", 5000, 5);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(8);
+  workload::JobRecord Recurring = job("recurring", 1, 5);
+  Recurring.Definition.Repeats = {43200, Wall, Millis(1000)};
+  for (const auto &Each : {Wide, Recurring}) {
+    INFO(Each.Id.str());
+    Fixture Setup(11, 16000);
+    Rows Stored;
+    Setup.Subject.addJob(Each, Millis(0), Setup.Now);
+    Setup.Subject.schedule(Setup.Now, Wall + Millis(3'600'000));
+    commitAll(Setup, Stored);
+    REQUIRE(Setup.runCount(Each.Id.str()) > 3000);
+
+    Fixture Next(11, 16000);
+    Next.Subject.addJob(Each, Millis(0), Next.Now);
+    restoreAll(Next.Subject, Stored, Next.Now);
+    REQUIRE(Next.runCount(Each.Id.str()) == Setup.runCount(Each.Id.str()));
+    REQUIRE(Next.Subject.job(Each.Id)->Status == JobStatus::Active);
+  }
+}
+
+// Guards against a start order of a job of which only some rows are durable:
+// the next leader would not know the other runs.
+TEST_CASE("no run of a job starts before all its rows are durable") {
+  workload::JobRecord Wide = job("wide", 5000, 5);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(8);
+  Fixture Setup(11, 16000);
+  Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+  Setup.Subject.schedule(Setup.Now, Wall);
+  Scheduler::Budget Small{10, 900'000};
+  Setup.Subject.takeChanges(CommitNumber(2), Small);
+  Setup.Subject.onCommitted(CommitNumber(2));
+  REQUIRE(Setup.Subject.hasChanges());
+  REQUIRE_FALSE(Setup.Subject.hasOrders(VmId("vm0")));
+  for (std::uint64_t Number = 3; Setup.Subject.hasChanges(); ++Number) {
+    Setup.Subject.takeChanges(CommitNumber(Number), Small);
+    Setup.Subject.onCommitted(CommitNumber(Number));
+  }
+  REQUIRE(Setup.Subject.hasOrders(VmId("vm0")));
+}
+
+// Guards against the progress of an earlier version, all in one row, that is
+// lost when the job is next written in several.
+TEST_CASE("progress that an earlier version wrote in one row is kept") {
+  workload::JobRecord Wide = job("wide", 1000, 5);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(8);
+  std::string Old;
+  {
+    JobProgress Job;
+    Job.Record = Wide;
+    Job.Status = JobStatus::Active;
+    addOccurrence(Job);
+    auto &Tasks = Job.Occurrences[0].Steps[0].Tasks;
+    for (std::size_t I = 0; I < 600; ++I) {
+      Tasks[I].Phase = TaskPhase::Assigned;
+      Tasks[I].LastRun = runner::RunNumber(1);
+      Tasks[I].Vm = VmId("vm0");
+    }
+    Old = encodeProgress(Job, 65536);
+  }
+  Rows Stored{{{Wide.Id, std::nullopt}, Old}};
+  for (int Leader = 0; Leader < 2; ++Leader) {
+    Fixture Setup(2, 16000);
+    Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+    restoreAll(Setup.Subject, Stored, Setup.Now);
+    REQUIRE(Setup.Subject.vm(VmId("vm0"))->Assigned.size() == 600);
+    commitAll(Setup, Stored);
+  }
+  REQUIRE(Stored.size() == 6);
+}
+
+// Guards against one job that holds up all others: the store rejects its row,
+// and the leader repeats the transaction, or writes each job alone to a store
+// that takes half a second for each.
+TEST_CASE("a job that the store rejects fails and the others are written") {
+  Fixture Setup(4, 40000);
+  for (int I = 0; I < 90; ++I)
+    Setup.Subject.addJob(
+        job(I == 60 ? "bad" : "a" + std::to_string(I), 1, 1000), Millis(0),
+        Setup.Now);
+  Setup.Subject.schedule(Setup.Now, Wall);
+  std::set<JobId> Written;
+  std::size_t Transactions = 0;
+  while (Setup.Subject.hasChanges() && ++Transactions < 30) {
+    CommitNumber Number(Setup.Commits + 1);
+    auto Changes = Setup.Subject.takeChanges(Number, {});
+    bool Rejects = std::any_of(Changes.begin(), Changes.end(), [](auto &Each) {
+      return Each.Job == JobId("bad");
+    });
+    if (Rejects) {
+      REQUIRE(Setup.Subject.onRejected(Number));
+      // The runs of a rejected transaction are not durable.
+      bool IsFirst = Written.empty();
+      for (const auto &[Vm, Reply] : Setup.Replies)
+        REQUIRE_FALSE((IsFirst && Setup.Subject.hasOrders(Vm)));
+      continue;
+    }
+    ++Setup.Commits;
+    for (auto &Each : Changes)
+      Written.insert(Each.Job);
+    Setup.Subject.onCommitted(Number);
+  }
+  REQUIRE_FALSE(Setup.Subject.hasChanges());
+  REQUIRE_FALSE(Setup.Subject.isIsolatingJobs());
+  REQUIRE(Transactions < 20);
+  REQUIRE(Written.size() == 89);
+  REQUIRE(Setup.Subject.job(JobId("bad"))->Status == JobStatus::Failed);
+  REQUIRE(Setup.runCount("bad") == 0);
+  std::size_t Starts = 0;
+  for (const auto &[Vm, Reply] : Setup.Replies)
+    Starts += Setup.Subject.nextSync(Vm, Epoch(1), Setup.Now).Starts.size();
+  REQUIRE(Starts == 89);
+}
--- a/tests/settings/NodeSettingsTest.cpp
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -42,3 +42,25 @@
                       SettingsError);
   }
 }
+
+// Guards against a limit of the store that is ignored, and against one that no
+// job fits in.
+TEST_CASE("a node reads the largest row of its store") {
+  auto settingsWithRow = [](const std::string &Line) {
+    return parseNodeSettings(
+        IniFile::parse("node.ini", "[node]\nname = entry-1\n"
+                                   "failure_domain = Regina\n"
+                                   "[listen]\nlinks = 127.0.0.1:7720\n"
+                                   "metrics = 127.0.0.1:7721\n"
+                                   "[store]\naddress = 127.0.0.1:8169\n" +
+                                       Line));
+  };
+  REQUIRE(settingsWithRow("").StoreRowBytes == 65536);
+  REQUIRE(settingsWithRow("row_bytes = 32768\n").StoreRowBytes == 32768);
+  for (const char *Wrong : {"0", "999", "-1", "1e30", "many"}) {
+    INFO(Wrong);
+    REQUIRE_THROWS_AS(
+        settingsWithRow("row_bytes = " + std::string(Wrong) + "\n"),
+        SettingsError);
+  }
+}
