Change a job only when its gang has room, and count started runs only

Cause: Scheduler::placeGang assigned the members one by one and took them back when one found no VM.

Change: the members' resources are claimed on the VMs first, and the job changes only when all have one. The same state was left behind by starts that are refused or never sent: a run counts as started when a worker lists it or its end, `pending` counts jobs without such a run, and a job of which none has started is queued again when its last run is taken back. No write is added.

"a gang without room changes nothing and stays pending" and "a job whose starts are all refused stays pending" failed before.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -45,7 +45,7 @@
   WorkerLife Life;
   /// Earliest next start, after a failure.
   TimePoint NotBefore{};
-  /// When the newest run ended or this process learned of the task.
+  /// When the newest started run ended or this process learned of the task.
   TimePoint WaitingSince{};
   /// VMs on which the task failed or stalled, or that turned it away.
   std::set<VmId> AvoidedVms;
@@ -62,17 +62,27 @@
   std::vector<StepProgress> Steps;
 };
 
+/// What this process knows about whether any task of a job has started.
+enum class StartEvidence : std::uint8_t {
+  None,
+  /// An earlier leader assigned a run, which no reply has confirmed yet.
+  Presumed,
+  /// A worker has listed a run or the end of one.
+  Seen
+};
+
 /// An accepted job and the progress of its tasks.
 struct JobProgress {
   workload::JobRecord Record;
   JobStatus Status = JobStatus::Queued;
+  StartEvidence Started = StartEvidence::None;
   /// The occurrences that are due so far.
   std::vector<OccurrenceProgress> Occurrences;
   /// When the job was accepted and when it should be complete, on this
   /// process's clock.
   TimePoint Arrival{};
   TimePoint TargetCompletion{};
-  /// Number of tasks with a run, and when it last became 0.
+  /// Number of tasks with a run, and when a started run last ended.
   std::uint32_t AssignedTasks = 0;
   TimePoint IdleSince{};
   /// Number of tasks in each of the rows that store the tasks, or 0 if one row
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -153,7 +153,8 @@
     Tails.decode(Bytes, Now);
   }
 
-  /// Number of accepted jobs without a started task, by queue.
+  /// Number of accepted jobs without a started task, by queue. An assigned task
+  /// has not started before a worker lists it.
   std::map<workload::QueueId, std::uint32_t> pending() const;
 
   const JobProgress *job(const JobId &Id) const;
@@ -194,7 +195,10 @@
   bool isStartDue(const Assignment &Run) const;
   void updateListedRuns(VmState &Vm, const runner::SyncReply &Reply);
   void stopStalled(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
-  void decrementAssignedTasks(JobProgress &Job);
+  void recordStart(Assignment &Run, JobProgress &Job);
+  void onRunOver(JobProgress &Job, bool Started);
+  /// Makes an assigned task wait again. Nothing that its assignment changed
+  /// remains if the run has not started, except its number.
   void requeueTask(VmState &Vm, const TaskName &Name, TimePoint NotBefore,
                    const char *Cause);
   void stopRun(VmState &Vm, const TaskName &Name, const char *Cause);
@@ -208,6 +212,9 @@
                  TimePoint Now);
   void placeGang(JobProgress &Job, std::uint32_t Occurrence, std::uint32_t Step,
                  TimePoint Now);
+  Assignment newAssignment(const JobProgress &Job, const TaskName &Name,
+                           RunNumber Run, const VmState &Vm,
+                           TimePoint Now) const;
   void assignTask(JobProgress &Job, const TaskName &Name, RunNumber Run,
                   VmState &Vm, TimePoint Now);
   bool isBlocked(const VmRequest &Request) const;
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -47,6 +47,8 @@
   /// The newest sync that carried the start order; 0 if none did. The agent
   /// ignores orders of an older sync once it has answered a newer one.
   std::uint64_t NewestOrderSync = 0;
+  /// A worker has listed the run or its end.
+  bool Started = false;
   bool Stopping = false;
   /// The sync that carried the stop order; 0 if it has to be sent.
   std::uint64_t StopSentInSync = 0;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -134,6 +134,10 @@
     Run.NewestOrderSync = 1;
     Run.Stopping = isFinal(Job.Status);
   }
+  // An active job has either a run or a task that has started.
+  if (Job.Status == JobStatus::Active)
+    Job.Started =
+        Job.AssignedTasks > 0 ? StartEvidence::Presumed : StartEvidence::Seen;
   if (isFinal(Job.Status))
     UnfinishedJobs.erase(Job.Record.Id);
 }
@@ -214,14 +218,28 @@
   Found->second.Stopping = true;
 }
 
-void Scheduler::decrementAssignedTasks(JobProgress &Job) {
+void Scheduler::recordStart(Assignment &Run, JobProgress &Job) {
+  Run.Started = true;
+  Job.Started = StartEvidence::Seen;
+}
+
+void Scheduler::onRunOver(JobProgress &Job, bool Started) {
   --Job.AssignedTasks;
-  if (Job.AssignedTasks == 0)
+  if (Started) {
     Job.IdleSince = LastSchedule;
+    return;
+  }
+  if (Job.AssignedTasks > 0 || Job.Started == StartEvidence::Seen)
+    return;
+  Job.Started = StartEvidence::None;
+  if (Job.Status == JobStatus::Active)
+    Job.Status = JobStatus::Queued;
 }
 
 void Scheduler::requeueTask(VmState &Vm, const TaskName &Name,
                             TimePoint NotBefore, const char *Cause) {
+  auto Run = Vm.Assigned.find(Name);
+  bool Started = Run != Vm.Assigned.end() && Run->second.Started;
   Vm.release(Name);
   auto Found = Jobs.find(Name.Job);
   if (Found == Jobs.end())
@@ -233,14 +251,16 @@
     return;
   Task->Phase = TaskPhase::Waiting;
   Task->NotBefore = NotBefore;
-  Task->WaitingSince = LastSchedule;
+  if (Started)
+    Task->WaitingSince = LastSchedule;
   ++Job.ReadyTasks;
-  decrementAssignedTasks(Job);
+  onRunOver(Job, Started);
   markDirty(Job, Name);
   LogEvent(LogLevel::Info, "run_over")
       .with("task", workload::toString(Name))
       .with("run", Task->LastRun)
       .with("vm", Vm.Id)
+      .with("started", Started ? "yes" : "no")
       .with("cause", Cause);
 }
 
@@ -422,6 +442,8 @@
   }
 
   // All members or none: an incomplete gang holds resources but does no work.
+  // The VMs hold the members' resources while the others are placed; the job
+  // itself changes only if all have found a VM.
   auto SiblingsByVm = siblingsByVm(Job, Occurrence, Step);
   std::vector<std::pair<TaskName, VmState *>> Placed;
   for (std::uint32_t N = 0; N < Tasks.size(); ++N) {
@@ -436,19 +458,42 @@
       break;
     ++SiblingsByVm[Vm->Id];
     TaskName Name{Job.Record.Id, Occurrence, Step, N};
-    Tasks[N].Checkpoint = Tasks[0].Checkpoint;
-    assignTask(Job, Name, Run, *Vm, Now);
+    Vm->assign(Name, newAssignment(Job, Name, Run, *Vm, Now));
     Placed.emplace_back(Name, Vm);
   }
-  if (Placed.size() == Tasks.size())
-    return;
   for (auto &[Name, Vm] : Placed)
-    requeueTask(*Vm, Name, Now + Config.RetryDelay, "gang_without_room");
+    Vm->release(Name);
+  if (Placed.size() < Tasks.size()) {
+    Tasks.front().NotBefore = Now + Config.RetryDelay;
+    return;
+  }
+  for (auto &[Name, Vm] : Placed) {
+    Tasks[Name.Index].Checkpoint = Tasks[0].Checkpoint;
+    assignTask(Job, Name, Run, *Vm, Now);
+  }
+}
+
+Assignment Scheduler::newAssignment(const JobProgress &Job,
+                                    const TaskName &Name, RunNumber Run,
+                                    const VmState &Vm, TimePoint Now) const {
+  const auto &Step = Job.stepDefinition(Name);
+  Assignment Result;
+  Result.Run = Run;
+  if (Vm.Worker)
+    Result.Life = Vm.Worker->Life;
+  Result.Held = heldResources(Step);
+  Result.BestEffortCpu = Step.FillsIdleCpu ? Step.Needs.Cpu : MilliCores(0);
+  Result.Priority = Job.Record.Policy.Priority;
+  Result.Checkpoints = Step.Checkpoints;
+  Result.LongRunning = Step.LongRunning;
+  Result.Image = Step.Image;
+  Result.TailTarget = Step.TailTarget;
+  Result.AssignedAt = Now;
+  return Result;
 }
 
 void Scheduler::assignTask(JobProgress &Job, const TaskName &Name,
                            RunNumber Run, VmState &Vm, TimePoint Now) {
-  const auto &Step = Job.stepDefinition(Name);
   TaskProgress &Task = *Job.findTask(Name);
   if (Task.Phase == TaskPhase::Waiting)
     --Job.ReadyTasks;
@@ -458,17 +503,9 @@
   if (Vm.Worker)
     Task.Life = Vm.Worker->Life;
 
-  Assignment Assigned;
-  Assigned.Run = Run;
+  Assignment Assigned = newAssignment(Job, Name, Run, Vm, Now);
+  // A restored run is in the stored life until the worker is known.
   Assigned.Life = Task.Life;
-  Assigned.Held = heldResources(Step);
-  Assigned.BestEffortCpu = Step.FillsIdleCpu ? Step.Needs.Cpu : MilliCores(0);
-  Assigned.Priority = Job.Record.Policy.Priority;
-  Assigned.Checkpoints = Step.Checkpoints;
-  Assigned.LongRunning = Step.LongRunning;
-  Assigned.Image = Step.Image;
-  Assigned.TailTarget = Step.TailTarget;
-  Assigned.AssignedAt = Now;
   Vm.assign(Name, Assigned);
   ++Job.AssignedTasks;
   if (Job.Status == JobStatus::Queued)
@@ -660,7 +697,7 @@
 std::map<workload::QueueId, std::uint32_t> Scheduler::pending() const {
   std::map<workload::QueueId, std::uint32_t> Result;
   for (const auto &[Id, Job] : UnfinishedJobs)
-    if (Job->Status == JobStatus::Queued)
+    if (Job->Started == StartEvidence::None)
       ++Result[Job->Record.Policy.Name];
 
   return Result;
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -115,6 +115,7 @@
     return;
 
   JobProgress &Job = Found->second;
+  recordStart(Run->second, Job);
   TaskProgress *Task = Job.findTask(Name);
   if (!Task)
     return;
@@ -142,7 +143,7 @@
   for (std::uint32_t N = 0; N < Step.Tasks.size(); ++N)
     if ((Gang || N == Name.Index) && Step.Tasks[N].Phase != TaskPhase::Done) {
       if (Step.Tasks[N].Phase == TaskPhase::Assigned)
-        decrementAssignedTasks(Job);
+        onRunOver(Job, true);
       Step.Tasks[N].Phase = TaskPhase::Done;
       ++Step.Done;
       markDirty(Job, {Name.Job, Name.Occurrence, Name.Step, N});
@@ -232,6 +233,9 @@
       if (Assignment *Run = MarkListed(Task.Name)) {
         Run->Percent = Task.Percent;
         Run->Load = Task.Load;
+        auto Found = Jobs.find(Task.Name.Task.Job);
+        if (!Run->Started && Found != Jobs.end())
+          recordStart(*Run, Found->second);
       }
   for (const runner::RunName &Name : Reply.Starting)
     if (Assignment *Run = MarkListed(Name))
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -584,3 +584,126 @@
     Starts += Setup.Subject.nextSync(Vm, Epoch(1), Setup.Now).Starts.size();
   REQUIRE(Starts == 89);
 }
+
+// Guards against a gang without room that counts as begun, is written to the
+// store in each pass and uses up run numbers.
+TEST_CASE("a gang without room changes nothing and stays pending") {
+  Fixture Setup(2);
+  Setup.Subject.addJob(job("burst", 2, 6000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  Setup.sendReplies();
+  workload::JobRecord Gang = job("gang", 4, 2000);
+  Gang.Definition.Steps[0].Gang = true;
+  Setup.Subject.addJob(Gang, Millis(0), Setup.Now);
+  for (int I = 0; I < 10; ++I) {
+    Setup.Subject.schedule(Setup.Now, Wall);
+    REQUIRE_FALSE(Setup.Subject.hasChanges());
+    REQUIRE(Setup.Subject.pending().at(workload::QueueId("q0")) == 1);
+    Setup.Now += Millis(200);
+    Setup.sendReplies();
+  }
+  const JobProgress *Waiting = Setup.Subject.job(JobId("gang"));
+  REQUIRE(Waiting->Status == JobStatus::Queued);
+  REQUIRE(Waiting->Occurrences[0].Steps[0].Tasks[0].LastRun == RunNumber{});
+  REQUIRE(Waiting->IdleSince == Start);
+  REQUIRE(Setup.runCount("gang") == 0);
+  for (const char *Vm : {"vm0", "vm1"})
+    REQUIRE(Setup.Subject.vm(VmId(Vm))->Held.Cpu == MilliCores(6000));
+}
+
+// Guards against a job that counts as begun although a worker turned away its
+// only start.
+TEST_CASE("a job whose starts are all refused stays pending") {
+  Fixture Setup(1);
+  Setup.Subject.addJob(job("a", 1, 1000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.Subject.nextSync(VmId("vm0"), Epoch(1), Setup.Now);
+  runner::SyncReply &Reply = Setup.Replies.at(VmId("vm0"));
+  Reply.Refused = {{1,
+                    {{JobId("a"), 0, 0, 0}, RunNumber(1)},
+                    runner::RefusalReason::NoRoom}};
+  Setup.sendReplies();
+  REQUIRE(Setup.Subject.pending().at(workload::QueueId("q0")) == 1);
+  REQUIRE(Setup.Subject.job(JobId("a"))->Status == JobStatus::Queued);
+  REQUIRE(Setup.Subject.job(JobId("a"))->IdleSince == Start);
+
+  Setup.Now += Millis(200);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  Setup.sendReplies();
+  REQUIRE(Setup.Subject.pending().empty());
+  REQUIRE(Setup.Subject.job(JobId("a"))->Status == JobStatus::Active);
+}
+
+// Guards against a job that counts as begun while its start order is held back
+// or on its way.
+TEST_CASE("a job is pending until a worker lists one of its runs") {
+  Fixture Setup(1);
+  Setup.Subject.addJob(job("a", 2, 1000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.sendReplies();
+  REQUIRE(Setup.runCount("a") == 2);
+  REQUIRE(Setup.Subject.pending().at(workload::QueueId("q0")) == 1);
+  Setup.startAssignedRuns();
+  Setup.sendReplies();
+  REQUIRE(Setup.Subject.pending().empty());
+  // It has begun for good, also after its runs are lost.
+  Setup.Replies.at(VmId("vm0")).Running.clear();
+  Setup.Replies.at(VmId("vm0")).Worker->Life = runner::WorkerLife(2);
+  Setup.Subject.onSyncReply(VmId("vm0"), 9, Setup.Replies.at(VmId("vm0")),
+                            Setup.Now);
+  REQUIRE(Setup.runCount("a") == 0);
+  REQUIRE(Setup.Subject.pending().empty());
+  REQUIRE(Setup.Subject.job(JobId("a"))->Status == JobStatus::Active);
+}
+
+// Guards against a new leader that counts every running job as waiting, or a
+// waiting one as begun after a worker turned away the run of the last leader.
+TEST_CASE("a new leader counts restored jobs as begun until a run is refused") {
+  Rows Stored;
+  Fixture Setup(1);
+  for (const char *Id : {"a", "b"})
+    Setup.Subject.addJob(job(Id, 1, 1000), Millis(0), Setup.Now);
+  Setup.Subject.schedule(Setup.Now, Wall);
+  commitAll(Setup, Stored);
+
+  Fixture Next(1);
+  for (const char *Id : {"a", "b"})
+    Next.Subject.addJob(job(Id, 1, 1000), Millis(0), Next.Now);
+  restoreAll(Next.Subject, Stored, Next.Now);
+  REQUIRE(Next.Subject.pending().empty());
+  Next.Replies.at(VmId("vm0")).Refused = {
+      {1,
+       {{JobId("a"), 0, 0, 0}, RunNumber(1)},
+       runner::RefusalReason::NoRoom}};
+  Next.Replies.at(VmId("vm0")).Running = {
+      {{{JobId("b"), 0, 0, 0}, RunNumber(1)}, "", 50, 10}};
+  Next.sendReplies();
+  REQUIRE(Next.Subject.pending().at(workload::QueueId("q0")) == 1);
+  REQUIRE(Next.Subject.job(JobId("a"))->Status == JobStatus::Queued);
+}
+
+// Guards against members of a gang that hold VMs without the others, and
+// against a gang that never uses room that becomes free.
+TEST_CASE("a gang starts with all members once there is room") {
+  Fixture Setup(2);
+  Setup.Subject.addJob(job("burst", 2, 6000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  workload::JobRecord Gang = job("gang", 4, 2000);
+  Gang.Definition.Steps[0].Gang = true;
+  Setup.Subject.addJob(Gang, Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  REQUIRE(Setup.runCount("gang") == 0);
+  auto &Reply = Setup.Replies.at(VmId("vm0"));
+  TaskName Ended = Reply.Running.at(0).Name.Task;
+  Reply.Running.clear();
+  Setup.endRun("vm0", Ended, 1, runner::EndCause::Done);
+  Setup.Now += Millis(200);
+  Setup.scheduleAndCommit();
+  REQUIRE(Setup.runCount("gang") == 4);
+  for (const auto &Task :
+       Setup.Subject.job(JobId("gang"))->Occurrences[0].Steps[0].Tasks)
+    REQUIRE(Task.LastRun == RunNumber(1));
+}
