Name the due tasks of a job and share the set-up of the gang tests

Clean-up after the last read: the number of due tasks had two formulas, and two tests repeated their set-up.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -143,6 +143,9 @@
 /// Number of tasks in all occurrences, due or not.
 std::uint64_t taskCount(const JobProgress &Job);
 
+/// Number of tasks in the occurrences that are due.
+std::uint32_t dueTaskCount(const JobProgress &Job);
+
 /// The position of a task among all tasks of its job, by occurrence and step.
 std::uint32_t taskNumber(const JobProgress &Job, const TaskName &Task);
 
--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -293,6 +293,11 @@
   return std::uint64_t(tasksPerOccurrence(Job)) * maxOccurrences(Job);
 }
 
+std::uint32_t dueTaskCount(const JobProgress &Job) {
+  return tasksPerOccurrence(Job) *
+         static_cast<std::uint32_t>(Job.Occurrences.size());
+}
+
 std::uint32_t taskNumber(const JobProgress &Job, const TaskName &Task) {
   std::uint32_t Result = Task.Occurrence * tasksPerOccurrence(Job) + Task.Index;
   for (std::uint32_t I = 0; I < Task.Step; ++I)
@@ -312,12 +317,9 @@
 
 std::string encodePart(const JobProgress &Job, std::uint32_t FirstTask,
                        std::size_t RowBytes) {
-  std::uint64_t DueTasks =
-      std::uint64_t(tasksPerOccurrence(Job)) * Job.Occurrences.size();
-  std::uint64_t End =
-      std::min<std::uint64_t>(DueTasks, FirstTask + Job.TasksPerRow);
-  auto Count =
-      static_cast<std::uint32_t>(End - std::min<std::uint64_t>(FirstTask, End));
+  std::uint32_t Due = dueTaskCount(Job);
+  std::uint32_t Count =
+      std::min(Job.TasksPerRow, Due - std::min(FirstTask, Due));
   return encodeWithin(RowBytes, [&](Checkpoints Mode) {
     msgpack::sbuffer Buffer;
     Packer To(Buffer);
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -80,8 +80,7 @@
   if (Job.TasksPerRow != 0 && WithTasks) {
     // An earlier version stored all tasks in this row.
     Job.TakenStatus.reset();
-    auto Due = Job.Occurrences.size() * taskCount(Job) /
-               std::max(1U, Job.Record.Definition.Repeats.Times);
+    std::uint32_t Due = dueTaskCount(Job);
     for (std::uint32_t First = 0; First < Due; First += Job.TasksPerRow)
       Job.DirtyParts.insert(First);
     markDirty(Job);
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -585,17 +585,28 @@
   REQUIRE(Starts == 89);
 }
 
+namespace {
+
+/// Two VMs on which running tasks leave room for one member each of the job
+/// "gang", a gang of four.
+struct GangFixture : Fixture {
+  GangFixture() : Fixture(2) {
+    Subject.addJob(job("burst", 2, 6000), Millis(0), Now);
+    scheduleAndCommit();
+    startAssignedRuns();
+    sendReplies();
+    workload::JobRecord Gang = job("gang", 4, 2000);
+    Gang.Definition.Steps[0].Gang = true;
+    Subject.addJob(Gang, Millis(0), Now);
+  }
+};
+
+} // namespace
+
 // Guards against a gang without room that counts as begun, is written to the
 // store in each pass and uses up run numbers.
 TEST_CASE("a gang without room changes nothing and stays pending") {
-  Fixture Setup(2);
-  Setup.Subject.addJob(job("burst", 2, 6000), Millis(0), Setup.Now);
-  Setup.scheduleAndCommit();
-  Setup.startAssignedRuns();
-  Setup.sendReplies();
-  workload::JobRecord Gang = job("gang", 4, 2000);
-  Gang.Definition.Steps[0].Gang = true;
-  Setup.Subject.addJob(Gang, Millis(0), Setup.Now);
+  GangFixture Setup;
   for (int I = 0; I < 10; ++I) {
     Setup.Subject.schedule(Setup.Now, Wall);
     REQUIRE_FALSE(Setup.Subject.hasChanges());
@@ -687,13 +698,7 @@
 // Guards against members of a gang that hold VMs without the others, and
 // against a gang that never uses room that becomes free.
 TEST_CASE("a gang starts with all members once there is room") {
-  Fixture Setup(2);
-  Setup.Subject.addJob(job("burst", 2, 6000), Millis(0), Setup.Now);
-  Setup.scheduleAndCommit();
-  Setup.startAssignedRuns();
-  workload::JobRecord Gang = job("gang", 4, 2000);
-  Gang.Definition.Steps[0].Gang = true;
-  Setup.Subject.addJob(Gang, Millis(0), Setup.Now);
+  GangFixture Setup;
   Setup.scheduleAndCommit();
   REQUIRE(Setup.runCount("gang") == 0);
   auto &Reply = Setup.Replies.at(VmId("vm0"));
--- a/tests/settings/NodeSettingsTest.cpp
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-NodeSettings settingsWith(const std::string &Capacity) {
+NodeSettings settingsWith(const std::string &Capacity,
+                          const std::string &Store = "") {
   return parseNodeSettings(
       IniFile::parse("node.ini", "[node]\n"
                                  "name = entry-1\n"
@@ -15,9 +16,8 @@
                                  "links = 127.0.0.1:7720\n"
                                  "metrics = 127.0.0.1:7721\n"
                                  "[store]\n"
-                                 "address = 127.0.0.1:8169\n"
-                                 "[capacity]\n" +
-                                     Capacity));
+                                 "address = 127.0.0.1:8169\n" +
+                                     Store + "[capacity]\n" + Capacity));
 }
 
 } // namespace
@@ -46,21 +46,12 @@
 // Guards against a limit of the store that is ignored, and against one that no
 // job fits in.
 TEST_CASE("a node reads the largest row of its store") {
-  auto settingsWithRow = [](const std::string &Line) {
-    return parseNodeSettings(
-        IniFile::parse("node.ini", "[node]\nname = entry-1\n"
-                                   "failure_domain = Regina\n"
-                                   "[listen]\nlinks = 127.0.0.1:7720\n"
-                                   "metrics = 127.0.0.1:7721\n"
-                                   "[store]\naddress = 127.0.0.1:8169\n" +
-                                       Line));
-  };
-  REQUIRE(settingsWithRow("").StoreRowBytes == 65536);
-  REQUIRE(settingsWithRow("row_bytes = 32768\n").StoreRowBytes == 32768);
+  REQUIRE(settingsWith("").StoreRowBytes == 65536);
+  REQUIRE(settingsWith("", "row_bytes = 32768\n").StoreRowBytes == 32768);
   for (const char *Wrong : {"0", "999", "-1", "1e30", "many"}) {
     INFO(Wrong);
     REQUIRE_THROWS_AS(
-        settingsWithRow("row_bytes = " + std::string(Wrong) + "\n"),
+        settingsWith("", "row_bytes = " + std::string(Wrong) + "\n"),
         SettingsError);
   }
 }
