--- /dev/null
+++ b/src/scheduling/SchedulerStorage.cpp
@@ -0,0 +1,239 @@
+// The part of Scheduler that stores the progress of jobs and restores it after
+// a takeover.
+#include "daisyspool/scheduling/Scheduler.h"
+
+#include "daisyspool/core/Errors.h"
+#include "daisyspool/rows/RowStore.h"
+#include "daisyspool/telemetry/Log.h"
+
+#include <algorithm>
+
+namespace daisyspool::scheduling {
+
+void Scheduler::restore(const JobId &Id, std::string_view Progress,
+                        TimePoint Now) {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    throw ProtocolError("stored progress of an unknown job " + Id.str());
+
+  JobProgress &Job = Found->second;
+  // A cancellation may be read before the progress and still applies.
+  bool Cancelled = Job.Status == JobStatus::Cancelled;
+  bool WithTasks = decodeProgress(Job, Progress);
+  Job.TakenStatus = Job.Status;
+  if (Job.TasksPerRow != 0 && WithTasks) {
+    // An earlier version stored all tasks in this row.
+    Job.TakenStatus.reset();
+    std::uint32_t Due = dueTaskCount(Job);
+    for (std::uint32_t First = 0; First < Due; First += Job.TasksPerRow)
+      Job.DirtyParts.insert(First);
+    markDirty(Job);
+  }
+  if (Cancelled && !isFinal(Job.Status)) {
+    Job.Status = JobStatus::Cancelled;
+    markDirty(Job);
+  }
+  if (Job.TasksPerRow != 0)
+    RestoredInParts.insert(Id);
+  else
+    restoreRuns(Job, Now);
+}
+
+void Scheduler::restorePart(const JobId &Id, std::uint32_t FirstTask,
+                            std::string_view Tasks) {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    throw ProtocolError("stored progress of an unknown job " + Id.str());
+
+  decodePart(Found->second, FirstTask, Tasks);
+  RestoredInParts.insert(Id);
+}
+
+void Scheduler::finishRestoring(TimePoint Now) {
+  for (const JobId &Id : RestoredInParts) {
+    JobProgress &Job = Jobs.at(Id);
+    updateDerivedFields(Job);
+    restoreRuns(Job, Now);
+  }
+  RestoredInParts.clear();
+}
+
+void Scheduler::restoreRuns(JobProgress &Job, TimePoint Now) {
+  // The agents have not replied yet, so no VM is known to have room.
+  for (OccurrenceProgress &Occurrence : Job.Occurrences)
+    for (StepProgress &Step : Occurrence.Steps)
+      for (TaskProgress &Task : Step.Tasks)
+        Task.WaitingSince = Now;
+  for (const TaskName &Name : assignedTasks(Job)) {
+    const TaskProgress &Task = *Job.findTask(Name);
+    addVm(Task.Vm, Now);
+    VmState &Vm = Vms.at(Task.Vm);
+    assignTask(Job, Name, Task.LastRun, Vm, Now);
+    Assignment &Run = Vm.Assigned.at(Name);
+    Run.Life = Task.Life;
+    Run.Commit = RestoredCommit;
+    // The agent's first reply shows whether it has the order.
+    Run.SentInSync = 1;
+    Run.NewestOrderSync = 1;
+    Run.Stopping = isFinal(Job.Status);
+  }
+  // An active job has either a run or a task that has started.
+  if (Job.Status == JobStatus::Active)
+    Job.Started =
+        Job.AssignedTasks > 0 ? StartEvidence::Presumed : StartEvidence::Seen;
+  if (isFinal(Job.Status))
+    UnfinishedJobs.erase(Job.Record.Id);
+}
+
+void Scheduler::markDirty(JobProgress &Job, const TaskName &Task) {
+  if (Job.TasksPerRow != 0) {
+    std::uint32_t Number = taskNumber(Job, Task);
+    Job.DirtyParts.insert(Number - Number % Job.TasksPerRow);
+  }
+  markDirty(Job);
+}
+
+void Scheduler::markDirty(JobProgress &Job) {
+  if (Job.Dirty || Job.Unstorable)
+    return;
+
+  Job.Dirty = true;
+  DirtyJobs.push_back(Job.Record.Id);
+}
+
+std::vector<Scheduler::Change>
+Scheduler::changesOf(const JobProgress &Job) const {
+  std::vector<Change> Result;
+  bool InParts = Job.TasksPerRow != 0;
+  if (InParts && !Job.StatusOnly)
+    for (std::uint32_t First : Job.DirtyParts)
+      Result.push_back(
+          {Job.Record.Id, First, encodePart(Job, First, Config.RowBytes)});
+  if (InParts && Job.TakenStatus == Job.Status)
+    return Result;
+
+  // The changes may need several transactions. A successor must not start tasks
+  // of an ended job, and must find the tasks that an earlier version stored in
+  // the row with the status until their parts are stored.
+  auto Position = isFinal(Job.Status) ? Result.begin() : Result.end();
+  Result.insert(Position, {Job.Record.Id, std::nullopt,
+                           encodeProgress(Job, Config.RowBytes)});
+  return Result;
+}
+
+bool Scheduler::takeJob(JobProgress &Job, Budget &Room,
+                        std::vector<Change> &Result) {
+  std::vector<Change> Changes = changesOf(Job);
+  auto Cost = [](const Change &Each) {
+    constexpr std::size_t OtherNameBytes = 32;
+    return rows::encodedBytes(Each.Job.str().size() + OtherNameBytes,
+                              Each.Progress.size());
+  };
+  std::size_t Bytes = 0;
+  for (const Change &Each : Changes)
+    Bytes += Cost(Each);
+  bool Fits = Changes.size() <= Room.Rows && Bytes <= Room.Bytes;
+  if (!Fits && !Result.empty())
+    return false;
+
+  for (Change &Each : Changes) {
+    if (Room.Rows == 0 || Cost(Each) > Room.Bytes)
+      return false;
+    --Room.Rows;
+    Room.Bytes -= Cost(Each);
+    if (Each.FirstTask)
+      Job.DirtyParts.erase(*Each.FirstTask);
+    else
+      Job.TakenStatus = Job.Status;
+    LastTaken.emplace_back(Each.Job, Each.FirstTask);
+    Result.push_back(std::move(Each));
+  }
+  Job.Dirty = false;
+  return true;
+}
+
+std::vector<Scheduler::Change> Scheduler::takeChanges(CommitNumber Number,
+                                                      Budget Room) {
+  std::vector<Change> Result;
+  LastTaken.clear();
+  std::size_t MaxJobs =
+      Suspects.empty() ? DirtyJobs.size() : MaxJobsWithSuspects;
+  std::size_t Count = 0;
+  while (Count < std::min(MaxJobs, DirtyJobs.size()) &&
+         takeJob(Jobs.at(DirtyJobs[Count]), Room, Result))
+    ++Count;
+  DirtyJobs.erase(DirtyJobs.begin(),
+                  DirtyJobs.begin() + static_cast<std::ptrdiff_t>(Count));
+
+  for (VmState *Vm : VmList) {
+    for (auto &[Name, Run] : Vm->Assigned) {
+      if (Run.Commit != CommitNumber{})
+        continue;
+      auto Found = Jobs.find(Name.Job);
+      if (Found == Jobs.end() || !Found->second.Dirty)
+        Run.Commit = Number;
+    }
+    // Ends are acknowledged only when every job that they changed is written.
+    if (DirtyJobs.empty()) {
+      Vm->EndsInCommit = Vm->EndsApplied;
+      Vm->EndsCommit = Number;
+    }
+  }
+  return Result;
+}
+
+bool Scheduler::onRejected(CommitNumber Number) {
+  std::set<JobId> Rejected;
+  for (const auto &[Id, FirstTask] : LastTaken) {
+    JobProgress &Job = Jobs.at(Id);
+    if (FirstTask)
+      Job.DirtyParts.insert(*FirstTask);
+    else
+      Job.TakenStatus.reset();
+    markDirty(Job);
+    Rejected.insert(Id);
+  }
+  LastTaken.clear();
+  for (VmState *Vm : VmList) {
+    for (auto &[Name, Run] : Vm->Assigned)
+      if (Run.Commit == Number)
+        Run.Commit = CommitNumber{};
+    if (Vm->EndsCommit == Number)
+      Vm->EndsCommit = CommitNumber{};
+  }
+  bool HadChanges = !Rejected.empty();
+  if (Rejected.size() == 1) {
+    abandon(Jobs.at(*Rejected.begin()));
+    Suspects.clear();
+  } else {
+    MaxJobsWithSuspects = std::max<std::size_t>(1, Rejected.size() / 2);
+    Suspects.merge(Rejected);
+  }
+  return HadChanges;
+}
+
+void Scheduler::abandon(JobProgress &Job) {
+  LogEvent(LogLevel::Error, "job_unstorable")
+      .with("job", Job.Record.Id)
+      .with("tasks", static_cast<std::int64_t>(taskCount(Job)))
+      .with("status_only", Job.StatusOnly ? "yes" : "no");
+  Job.Unstorable = Job.StatusOnly;
+  Job.StatusOnly = true;
+  if (!isFinal(Job.Status))
+    endJob(Job, JobStatus::Failed);
+  if (!Job.Unstorable)
+    return;
+  Job.Dirty = false;
+  std::erase(DirtyJobs, Job.Record.Id);
+}
+
+void Scheduler::onCommitted(CommitNumber Number) {
+  Durable = Number;
+  for (const auto &[Id, FirstTask] : LastTaken)
+    Suspects.erase(Id);
+  for (VmState *Vm : VmList)
+    if (Vm->EndsCommit != CommitNumber{} && Vm->EndsCommit <= Durable)
+      Vm->EndsRecorded = std::max(Vm->EndsRecorded, Vm->EndsInCommit);
+}
+
+} // namespace daisyspool::scheduling
