--- a/review/fleet-2/Cases.h
+++ b/review/fleet-2/Cases.h
@@ -128,69 +128,6 @@
   bool Trouble;
 };
 
-/// A job is cancelled after its submission got no answer, while the store
-/// carries out writes late.
-class LateJob final : public Case {
-public:
-  LateJob(Harness &Host, bool Trouble)
-      : Case(Host, {3, 2, 16000}), Trouble(Trouble) {}
-
-private:
-  static constexpr Millis LostTime{1100};
-  static constexpr Millis PlayTime{16000};
-
-  void begin() override {
-    if (Trouble) {
-      Host.record("store", "loses the answers of some writes");
-      Subject.Platform.LateDelay = Millis(6000);
-      Subject.Platform.IsLost = [](const json &Transaction) {
-        return Transaction.dump().find("job-") != std::string::npos;
-      };
-      Host.after(LostTime, [this] {
-        Host.record("store", "answers again");
-        Subject.Platform.IsLost = nullptr;
-      });
-    }
-    Subject.submit(0, {jobId(1), workSpec(500), {step(4, 1000, 500)}},
-                   [this](int Status, const json &) { onSubmitted(Status); });
-    finishAfter(PlayTime);
-  }
-
-  void onSubmitted(int) {
-    Subject.cancel(1, jobId(1), [](int, const json &) {});
-  }
-
-  bool Trouble;
-};
-
-/// A job with many tasks on one worker is cancelled.
-class BigCancel final : public Case {
-public:
-  BigCancel(Harness &Host, bool Trouble)
-      : Case(Host, {3, 2, 16000}), Trouble(Trouble) {}
-
-private:
-  static constexpr Millis JobInterval{400};
-  static constexpr Millis CancelAt{9000};
-  static constexpr Millis PlayTime{22000};
-
-  int tasks() const { return Trouble ? 1000 : 100; }
-
-  void begin() override {
-    json Step = step(tasks(), 10, 500);
-    Step["long_running"] = true;
-    Subject.submit(0, {jobId(1), "lasts", {Step}}, [](int, const json &) {});
-    Host.after(CancelAt, [this] {
-      Host.record("case", std::to_string(Subject.Rules.runningCount()) +
-                              " tasks at work");
-      Subject.cancel(1, jobId(1), [](int, const json &) {});
-    });
-    finishAfter(PlayTime);
-  }
-
-  bool Trouble;
-};
-
 /// A job whose many tasks have a long text.
 class LongTexts final : public Case {
 public:
@@ -387,10 +324,6 @@
 inline int playCase(Harness &Host, const std::string &Name, bool Trouble) {
   if (Name == "many-ends")
     return ManyEnds(Host, Trouble).play();
-  if (Name == "late-job")
-    return LateJob(Host, Trouble).play();
-  if (Name == "big-cancel")
-    return BigCancel(Host, Trouble).play();
   if (Name == "long-texts")
     return LongTexts(Host, Trouble).play();
   if (Name == "many-repetitions")
--- a/review/fleet-2/Fleet.h
+++ b/review/fleet-2/Fleet.h
@@ -52,19 +52,6 @@
   void query(std::size_t Entry, const std::string &Job, const Response &Done) {
     call(Entry, "GET", Job, "", Done);
   }
-  void cancel(std::size_t Entry, const std::string &Job, const Response &Done) {
-    call(Entry, "DELETE", Job, "",
-         [this, Job, Done](int Status, const json &Body) {
-           if (Status == 200 || Status == 410)
-             Rules.cancelAcknowledged(Job);
-           Done(Status, Body);
-         });
-  }
-  /// Asks an entry for the number of waiting jobs.
-  void queryPending(std::size_t Entry, const Response &Done) {
-    call(Entry, "GET", "", "", Done);
-  }
-
   /// The entry that leads, by its log; the number of entries if none does.
   std::size_t leader() const {
     std::size_t Result = Entries.size();
--- a/review/fleet-2/Store.h
+++ b/review/fleet-2/Store.h
@@ -28,11 +28,6 @@
   bool Busy = false;
   /// Time that a call takes.
   Millis Delay{4};
-  /// If set, decides which transactions get no answer and are applied after
-  /// LateDelay, if their conditions hold then.
-  std::function<bool(const json &Transaction)> IsLost;
-  Millis LateDelay{5000};
-
   /// Writes a row as the operator does.
   void put(const std::string &Table, const std::string &Key,
            const std::string &Value) {
@@ -164,14 +159,6 @@
   }
 
   void transact(const json &Transaction, const ExchangePtr &Answer) {
-    if (IsLost && IsLost(Transaction)) {
-      Unanswered.push_back(Answer);
-      Host.after(LateDelay, [this, Transaction] {
-        Host.record("store", apply(Transaction) ? "late write applied"
-                                                : "late write void");
-      });
-      return;
-    }
     if (apply(Transaction))
       return Answer->respond(jsonResponse(200, page(json::array(), false)));
     json Current = json::array();
@@ -254,8 +241,6 @@
   std::vector<std::pair<Name, std::uint64_t>> History;
   std::uint64_t Version = 0;
   std::list<Feed> Feeds;
-  /// Calls that never get an answer.
-  std::vector<ExchangePtr> Unanswered;
   http::Server HttpServer;
 };
 
--- a/review/fleet-2/Worker.h
+++ b/review/fleet-2/Worker.h
@@ -20,19 +20,13 @@
   return Named.Task + " run " + std::to_string(Named.Number);
 }
 
-/// Checks the rules TWICE and UNASKED over all workers.
+/// Checks the rule TWICE over all workers, and tells the cases what has run.
 class Oracle {
 public:
   explicit Oracle(Harness &Host) : Host(Host) {}
 
-  /// The caller's DELETE of \p Job has been answered with 2xx or 410.
-  void cancelAcknowledged(const std::string &Job) {
-    CancelledAt.try_emplace(Job, Clock::now());
-  }
-
   void started(const std::string &Worker, const Run &Begun) {
     ++Starts;
-    StartedJobs.insert(jobOf(Begun.Task));
     if (auto Other = Running.find(Begun.Task); Other != Running.end())
       Host.broken("TWICE", toText(Begun) + " starts on " + Worker + " while " +
                                toText(Other->second) + " is at work");
@@ -41,28 +35,15 @@
     if (NotedDone.count(Begun.Task) != 0)
       reportTwice(DoneRuns.at(Begun.Task), Begun);
     Running[Begun.Task] = Begun;
-    auto Cancelled = CancelledAt.find(jobOf(Begun.Task));
-    if (Cancelled != CancelledAt.end() &&
-        Clock::now() - Cancelled->second > CancelTime)
-      Host.broken("UNASKED", toText(Begun) + " starts on " + Worker + " " +
-                                 millisSince(Cancelled->second) +
-                                 " ms after the cancelling was acknowledged");
   }
 
-  void ended(const std::string &Worker, const Run &Over,
-             const std::string &How) {
+  void ended(const Run &Over, const std::string &How) {
     Running.erase(Over.Task);
     LastAtWork[jobOf(Over.Task)] = Clock::now();
     if (How == "lapsed")
       ++Lapses;
     if (How == "done")
       DoneRuns.try_emplace(Over.Task, Over);
-    auto Cancelled = CancelledAt.find(jobOf(Over.Task));
-    if (Cancelled != CancelledAt.end() &&
-        Clock::now() - Cancelled->second > CancelTime + StopTime)
-      Host.broken("UNASKED", toText(Over) + " ran on " + Worker + " until " +
-                                 millisSince(Cancelled->second) +
-                                 " ms after the cancelling was acknowledged");
   }
 
   /// last_seen has reached the end of \p Over, and the worker's lease has not
@@ -92,9 +73,6 @@
     return Found == LastAtWork.end() || Clock::now() - Found->second > Span;
   }
 
-  bool hasStarted(const std::string &Job) const {
-    return StartedJobs.count(Job) != 0;
-  }
   std::size_t runningCount() const { return Running.size(); }
   std::size_t doneCount() const { return DoneRuns.size(); }
 
@@ -102,18 +80,10 @@
   std::size_t Lapses = 0;
 
 private:
-  static constexpr Millis CancelTime{3000};
-  static constexpr Millis StopTime{200};
-
   static std::string jobOf(const std::string &Task) {
     return Task.substr(0, Task.find('.'));
   }
 
-  static std::string millisSince(Clock::time_point Then) {
-    return std::to_string(
-        std::chrono::duration_cast<Millis>(Clock::now() - Then).count());
-  }
-
   void reportTwice(const Run &Done, const Run &Begun) {
     if (Reported.insert(Begun).second)
       Host.broken("TWICE", toText(Begun) + " started after " + toText(Done) +
@@ -127,8 +97,6 @@
   std::set<std::string> NotedDone;
   std::vector<std::pair<Run, Run>> StartsAfterDone;
   std::set<Run> Reported;
-  std::set<std::string> StartedJobs;
-  std::map<std::string, Clock::time_point> CancelledAt;
   /// By job, when a run of it last ended.
   std::map<std::string, Clock::time_point> LastAtWork;
 };
@@ -153,15 +121,6 @@
 
   http::Endpoint endpoint() const { return HttpServer.endpoint(); }
 
-  /// While set, the worker has no power: it runs nothing and answers nothing.
-  void powerOff() {
-    Up = false;
-    for (const auto &[Named, State] : Runs)
-      Rules.ended(Name, Named, "lost");
-    Runs.clear();
-    Host.record(Name, "powered off");
-  }
-
 private:
   struct RunState {
     Clock::time_point StartedAt;
@@ -194,8 +153,6 @@
 
   void announce() {
     Host.after(AnnounceInterval, [this] { announce(); });
-    if (!Up)
-      return;
     json Body{
         {"service", "service"},
         {"address", http::toString(endpoint())},
@@ -218,10 +175,6 @@
   }
 
   void serve(const http::Request &Call, const ExchangePtr &Answer) {
-    if (!Up) {
-      Unanswered.push_back(Answer);
-      return;
-    }
     try {
       expire();
       json Body = json::parse(Call.Body);
@@ -303,7 +256,7 @@
     Ends.push_back({++LastEnd, Over, How});
     Host.record(Name, "end " + std::to_string(LastEnd) + ": " + toText(Over) +
                           " " + How);
-    Rules.ended(Name, Over, How);
+    Rules.ended(Over, How);
     auto Answered = std::move(Holds);
     Holds.clear();
     for (const Waiting &Each : Answered)
@@ -375,7 +328,6 @@
   Oracle &Rules;
   std::string Name;
   int MilliCores;
-  bool Up = true;
   Clock::time_point BornAt = Clock::now();
   std::int64_t Born = std::chrono::duration_cast<Millis>(
                           std::chrono::system_clock::now().time_since_epoch())
@@ -391,7 +343,6 @@
   /// By task, the newest run that has ended or must not start any more.
   std::map<std::string, std::uint64_t> ClosedUpTo;
   std::vector<Waiting> Holds;
-  std::vector<ExchangePtr> Unanswered;
   http::Client ToAgent;
   http::Server HttpServer;
 };
