Do not take a run beyond the worker's listed ends for one that never ran

Cause: a worker lists its oldest 500 ends. A run that has ended beyond them is in neither list. The leader took it for an order that was lost and sent the start again, the worker declined it as old, and the agent, which found the run in no list, reported it as refused. The leader then started the task anew. A trace of the virtual fleet shows the steps: a reply with no run, 500 ends and 900 assigned runs, then 900 starts sent again.

Change: the platform's client says whether a listing is truncated. While it is, the agent settles no order by the absence of a run: not a start that was declined as old, not a stop, not a start that it gives up for another reason (draining, no lease), which is ruled out by a stop first. Runs that were listed before and are in neither list are reported like unsettled orders, so that the leader does not send them again. This needs no new field between processes. Names are looked up in a set: the same listing took orders x runs comparisons.

The stand-in of the worker listed all its ends, and the oracle counted a second start only after the first end was recorded, not before; both are corrected.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -127,6 +128,8 @@
   void scheduleHold(Millis Delay);
   void onHoldOutcome(const HoldOutcome &Outcome, TimePoint SentAt, bool Waited);
   void applyListing(const WorkerListing &Listing, TimePoint SentAt);
+  /// Updates MayHaveEnded after a listing, given the runs of the one before.
+  void updateUnlistedRuns(const std::set<RunName> &RunningBefore);
   void removeSettledOrders(TimePoint SentAt);
   void startWaitingOrders();
   void detectStalls(TimePoint Now);
@@ -138,8 +141,13 @@
   Pace paceFor(const RunTraits &FillingTask) const;
   void paceNewRun(const RunName &Name);
   void setPace(const RunName &Name, const Pace &Wanted);
-  bool isListed(const RunName &Name) const;
-  bool hasEnded(const RunName &Name) const;
+  bool isListed(const RunName &Name) const {
+    return RunningNames.count(Name) != 0;
+  }
+  bool hasEnded(const RunName &Name) const {
+    return EndedNames.count(Name) != 0;
+  }
+  void removeRecordedEnds();
   void reportChange();
   void replyToSync();
   SyncReply snapshot();
@@ -177,6 +185,15 @@
   bool WorkerSilent = true;
   std::vector<RunningTask> Running;
   std::vector<EndedTask> Ended;
+  /// The names in Running and Ended. Load pattern: hundreds of runs and orders
+  /// on one worker.
+  std::set<RunName> RunningNames;
+  std::set<RunName> EndedNames;
+  /// The newest listing had no room for all ends, so that a run that it does
+  /// not name may have ended.
+  bool EndsTruncated = false;
+  /// Runs that an earlier listing named and the newest, truncated one does not.
+  std::set<RunName> MayHaveEnded;
   EndNumber EndsSeen;
   EndNumber EndsRecorded;
   std::map<RunName, std::shared_ptr<Order>> Orders;
--- a/include/daisyspool/runner/Sync.h
+++ b/include/daisyspool/runner/Sync.h
@@ -153,8 +153,8 @@
   bool LeaseExpired = false;
   std::optional<WorkerReport> Worker;
   std::vector<RunningTask> Running;
-  /// Runs with a start or stop order that is not settled, so that they may be
-  /// running.
+  /// Runs with a start or stop order that is not settled, and runs whose end
+  /// the worker may have had no room to list, so that they may be running.
   std::vector<RunName> Starting;
   std::vector<EndedTask> Ended;
   std::vector<RefusedRun> Refused;
--- a/include/daisyspool/runner/WorkerPort.h
+++ b/include/daisyspool/runner/WorkerPort.h
@@ -53,6 +53,9 @@
   WorkerLife Life;
   std::vector<RunningTask> Running;
   std::vector<EndedTask> Ended;
+  /// The listing has no room for more ends, so a run that it does not name may
+  /// have ended.
+  bool EndsTruncated = false;
 };
 using HoldOutcome = std::variant<WorkerListing, FencedOut, WorkerBusy,
                                  OtherLife, NoWorkerAnswer>;
--- a/src/runner/AgentOrders.cpp
+++ b/src/runner/AgentOrders.cpp
@@ -166,7 +166,8 @@
 
 void AgentSession::giveUpStart(const RunName &Name, RefusalReason Reason) {
   Order &Start = *Orders.at(Name);
-  if (!Start.MayStartLate)
+  // While ends are truncated, the order may repeat that of a run that ended.
+  if (!Start.MayStartLate && !EndsTruncated)
     return refuse(Name, Reason);
   Start.ReasonAfterStop = Reason;
   Start.StopWanted = true;
@@ -255,6 +256,9 @@
       Settled.push_back(Name);
       continue;
     }
+    // The end of the run may be among those that are not listed.
+    if (EndsTruncated && !isListed(Name))
+      continue;
     if (Order->StopWanted) {
       bool StopTimeoutOver = Order->StopAccepted &&
                              SentAt > Order->AcceptedAt + Config.StopTimeout;
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -166,6 +166,10 @@
   Lease.reset();
   Running.clear();
   Ended.clear();
+  RunningNames.clear();
+  EndedNames.clear();
+  EndsTruncated = false;
+  MayHaveEnded.clear();
   EndsSeen = EndsRecorded = EndNumber{};
   Progress.clear();
   Stalled.clear();
@@ -240,9 +244,7 @@
   }
   if (Request.EndsLife == Life && Request.EndsRecorded > EndsRecorded) {
     EndsRecorded = Request.EndsRecorded;
-    std::erase_if(Ended, [this](const EndedTask &End) {
-      return End.Number <= EndsRecorded;
-    });
+    removeRecordedEnds();
     if (Ended.empty() && HoldScheduled)
       scheduleHold(Millis(0));
   }
@@ -251,6 +253,15 @@
   });
 }
 
+void AgentSession::removeRecordedEnds() {
+  std::erase_if(Ended, [this](const EndedTask &End) {
+    bool IsRecorded = End.Number <= EndsRecorded;
+    if (IsRecorded)
+      EndedNames.erase(End.Name);
+    return IsRecorded;
+  });
+}
+
 std::optional<WorkerClock> AgentSession::grantedLease() {
   TimePoint Now = Time.now();
   // A message to a silent worker may arrive much later; without a new lease in
@@ -335,11 +346,17 @@
     reportChange();
   }
   Running = Listing.Running;
+  std::set<RunName> RunningBefore = std::exchange(RunningNames, {});
+  for (const RunningTask &Task : Running)
+    RunningNames.insert(Task.Name);
+  EndsTruncated = Listing.EndsTruncated;
   Ended.clear();
+  EndedNames.clear();
   for (const EndedTask &End : Listing.Ended) {
     if (End.Number <= EndsRecorded)
       continue;
     Ended.push_back(End);
+    EndedNames.insert(End.Name);
     if (End.Number > EndsSeen) {
       EndsSeen = End.Number;
       TraitsByRun.erase(End.Name);
@@ -347,6 +364,7 @@
       reportChange();
     }
   }
+  updateUnlistedRuns(RunningBefore);
   removeSettledOrders(SentAt);
   if (!std::exchange(HasListing, true))
     startWaitingOrders();
@@ -354,14 +372,17 @@
   paceFillingTasks(Now);
 }
 
-bool AgentSession::isListed(const RunName &Name) const {
-  return std::any_of(Running.begin(), Running.end(),
-                     [&](const auto &Task) { return Task.Name == Name; });
-}
-
-bool AgentSession::hasEnded(const RunName &Name) const {
-  return std::any_of(Ended.begin(), Ended.end(),
-                     [&](const auto &End) { return End.Name == Name; });
+/// Without this the leader would take the runs for lost and send their start
+/// orders again.
+void AgentSession::updateUnlistedRuns(const std::set<RunName> &RunningBefore) {
+  if (!EndsTruncated) {
+    MayHaveEnded.clear();
+    return;
+  }
+  MayHaveEnded.insert(RunningBefore.begin(), RunningBefore.end());
+  std::erase_if(MayHaveEnded, [this](const RunName &Name) {
+    return isListed(Name) || hasEnded(Name);
+  });
 }
 
 void AgentSession::reportChange() {
@@ -399,6 +420,9 @@
   Result.Running = Running;
   for (const auto &[Name, Order] : Orders)
     Result.Starting.push_back(Name);
+  for (const RunName &Name : MayHaveEnded)
+    if (Orders.count(Name) == 0)
+      Result.Starting.push_back(Name);
   Result.Ended = Ended;
   Result.Refused = Refused;
   Result.Stalled = Stalled;
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -215,6 +215,33 @@
   requireNoViolations(Fleet);
 }
 
+// Guards against a second run of the tasks whose ends a worker has no room to
+// list: more than 500 wait to be acknowledged while the store is down.
+TEST_CASE("tasks that end during an outage of the store run once") {
+  for (bool AgentRestarts : {false, true}) {
+    INFO(AgentRestarts);
+    VirtualFleet Fleet(9, 3, 2, {MilliCores(16000), MebiBytes(160000), {}});
+    Fleet.Loop.runFor(Millis(3000));
+    for (std::size_t I = 0; I < 14; ++I)
+      Fleet.submit(I % 3, chainJob("job" + std::to_string(I), 1, 100, 10),
+                   Millis(1400));
+    Fleet.Loop.runFor(Millis(1000));
+    REQUIRE(Fleet.Invariants.Starts == 1400);
+    Fleet.Store.Down = true;
+    Fleet.Loop.runFor(Millis(1500));
+    if (AgentRestarts)
+      for (std::size_t I : {0U, 1U}) {
+        Fleet.killAgent(I);
+        Fleet.startAgent(I);
+      }
+    Fleet.Loop.runFor(Millis(3000));
+    Fleet.Store.Down = false;
+    REQUIRE(Fleet.runUntilAll(JobStatus::Completed, std::chrono::seconds(10)));
+    requireNoViolations(Fleet);
+    REQUIRE(Fleet.Invariants.Starts == 1400);
+  }
+}
+
 // Guards against refusing a job whose write was applied without an answer, and
 // against a late copy of a leader's transaction.
 TEST_CASE("accepted jobs complete despite lost and late answers of the store") {
--- a/tests/fleet/Oracle.h
+++ b/tests/fleet/Oracle.h
@@ -53,6 +53,8 @@
       if (DoneTasks[{Name.Task.Job, Predecessor}].size() <
           Steps[Predecessor].Count)
         addViolation("started before its predecessors", Name, Worker);
+    if (auto Done = DoneRuns.find(Name.Task); Done != DoneRuns.end())
+      StartedAfter.emplace(Done->second, Name);
     Running[Name.Task] = Worker;
     Resources Reserved;
     for (const auto &[Task, Host] : Running)
@@ -67,8 +69,10 @@
   void ended(const std::string &, const runner::RunName &Name,
              runner::EndCause Cause) {
     Running.erase(Name.Task);
-    if (Cause == runner::EndCause::Done)
+    if (Cause == runner::EndCause::Done) {
       DoneTasks[{Name.Task.Job, Name.Task.Step}].insert(Name.Task.Index);
+      DoneRuns.try_emplace(Name.Task, Name);
+    }
     if (Cause == runner::EndCause::Lapsed)
       ++Lapses;
   }
@@ -80,8 +84,12 @@
   /// Reports that an end was removed from the worker's list. An end from before
   /// a lapse of the worker's lease does not count.
   void endRecorded(const runner::EndedTask &End, runner::EndNumber LapsedUpTo) {
-    if (End.Cause == runner::EndCause::Done && End.Number > LapsedUpTo)
-      Recorded.insert(End.Name.Task);
+    if (End.Cause != runner::EndCause::Done || End.Number <= LapsedUpTo)
+      return;
+    Recorded.insert(End.Name.Task);
+    if (auto Later = StartedAfter.find(End.Name); Later != StartedAfter.end())
+      addViolation("started before an earlier end was recorded", Later->second,
+                   "a worker");
   }
 
   bool isRunning(const JobId &Job) const {
@@ -113,6 +121,10 @@
   std::set<JobId> Cancelled;
   std::map<runner::TaskName, std::string> Running;
   std::set<runner::TaskName> Recorded;
+  /// By task, the first run that ended as done.
+  std::map<runner::TaskName, runner::RunName> DoneRuns;
+  /// By run that ended as done, a later run of its task.
+  std::map<runner::RunName, runner::RunName> StartedAfter;
   std::map<std::pair<JobId, std::uint32_t>, std::set<std::uint32_t>> DoneTasks;
 };
 
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -141,6 +141,9 @@
     for (const auto &[Task, Run] : Running)
       Result.Running.push_back({{Task, Run.Run}, "", percent(Run), 100});
     Result.Ended = Ended;
+    Result.EndsTruncated = Ended.size() >= MaxListedEnds;
+    if (Result.EndsTruncated)
+      Result.Ended.resize(MaxListedEnds);
     return Result;
   }
 
@@ -160,6 +163,9 @@
   std::size_t endCount() const { return Ended.size() + LastEnd; }
 
 private:
+  /// The platform's limit for the ends in one listing.
+  static constexpr std::size_t MaxListedEnds = 500;
+
   struct RunState {
     runner::RunNumber Run;
     TimePoint StartedAt;
--- a/tests/platform_adapter/WorkerClientTest.cpp
+++ b/tests/platform_adapter/WorkerClientTest.cpp
@@ -83,3 +83,22 @@
           Worker.hold(replaced(GoodListing, Field, Changed))));
     }
 }
+
+// Guards against taking the runs beyond the 500 ends that a worker lists for
+// runs that never started.
+TEST_CASE("a listing with as many ends as a worker lists is truncated") {
+  StubWorker Worker;
+  for (std::size_t Count : {0U, 1U, 499U, 500U}) {
+    INFO(Count);
+    std::string Ends;
+    for (std::size_t I = 1; I <= Count; ++I)
+      Ends += (I > 1 ? ",[" : "[") + std::to_string(I) +
+              R"(,"5c0e7a21d94b36f8.0.1.)" + std::to_string(I) +
+              R"(",1,"done",""])";
+    auto Listing = std::get<runner::WorkerListing>(Worker.hold(
+        R"({"clock_ms":482113,"born":77,"running":[],"finished":[)" + Ends +
+        "]}"));
+    REQUIRE(Listing.Ended.size() == Count);
+    REQUIRE(Listing.EndsTruncated == (Count == 500));
+  }
+}
--- a/tests/runner/AgentSessionTest.cpp
+++ b/tests/runner/AgentSessionTest.cpp
@@ -140,3 +140,85 @@
   Setup.follow(Millis(500));
   REQUIRE(Setup.Newest.Worker->Draining);
 }
+
+namespace {
+
+/// Lists \p Setup's run as one of the ends, with room for more.
+void listAsEnded(Fixture &Setup, EndCause Cause) {
+  Setup.Worker.Listing.Running.clear();
+  Setup.Worker.Listing.Ended = {{EndNumber(1), Setup.Run, Cause, ""}};
+  Setup.Worker.Listing.EndsTruncated = false;
+}
+
+} // namespace
+
+// Guards against a second run of a task that is done: its end has no place in
+// the worker's listing, and the agent reports the run as one that never ran.
+TEST_CASE("an order is not refused while the worker's ends are truncated") {
+  enum class Cause { StartIsOld, Stop, Draining };
+  for (Cause Why : {Cause::StartIsOld, Cause::Stop, Cause::Draining}) {
+    INFO("cause " << static_cast<int>(Why));
+    Fixture Setup;
+    Setup.follow(Millis(7000));
+    Setup.Worker.Listing.EndsTruncated = true;
+    Setup.Worker.StartAnswer = StartRefused{RefusalReason::Old};
+    Setup.follow(Millis(1000));
+    if (Why == Cause::Draining) {
+      auto Draining = Fixture::announcement("w", 1, 2);
+      Draining.Worker.Draining = true;
+      Setup.Session.announce(Draining);
+    }
+    if (Why == Cause::Stop)
+      Setup.sync({}, {Setup.Run});
+    else
+      Setup.sync({Setup.order()}, {});
+    Setup.follow(Millis(3000));
+    REQUIRE(Setup.Newest.Refused.empty());
+    REQUIRE(Setup.Newest.Starting == std::vector<RunName>{Setup.Run});
+
+    listAsEnded(Setup, EndCause::Done);
+    Setup.follow(Millis(1000));
+    REQUIRE(Setup.Newest.Refused.empty());
+    REQUIRE(Setup.Newest.Starting.empty());
+    REQUIRE(Setup.Newest.Ended.size() == 1);
+  }
+}
+
+// Guards against an order that stays unsettled for good after the worker's ends
+// were truncated once.
+TEST_CASE("an order is settled by the first listing with all ends") {
+  for (bool Stopped : {false, true}) {
+    Fixture Setup;
+    Setup.follow(Millis(7000));
+    Setup.Worker.Listing.EndsTruncated = true;
+    Setup.Worker.StartAnswer = StartRefused{RefusalReason::Old};
+    if (Stopped)
+      Setup.sync({}, {Setup.Run});
+    else
+      Setup.sync({Setup.order()}, {});
+    Setup.follow(Millis(1000));
+    REQUIRE(Setup.Newest.Refused.empty());
+    Setup.Worker.Listing.EndsTruncated = false;
+    Setup.follow(Millis(1000));
+    REQUIRE(Setup.Newest.Refused.size() == 1);
+    REQUIRE(Setup.Newest.Starting.empty());
+  }
+}
+
+// Guards against a leader that sends the start order of a run again, as its end
+// has no place in the worker's listing.
+TEST_CASE("a run that leaves a truncated listing is reported until its end") {
+  Fixture Setup;
+  Setup.Worker.Listing.Running = {{Setup.Run, "", 50, 0}};
+  Setup.follow(Millis(1000));
+  Setup.Worker.Listing.Running.clear();
+  Setup.Worker.Listing.EndsTruncated = true;
+  Setup.follow(Millis(1000));
+  REQUIRE(Setup.Newest.Running.empty());
+  REQUIRE(Setup.Newest.Starting == std::vector<RunName>{Setup.Run});
+
+  listAsEnded(Setup, EndCause::Done);
+  Setup.follow(Millis(1000));
+  REQUIRE(Setup.Newest.Starting.empty());
+  REQUIRE(Setup.Newest.Ended.size() == 1);
+}
