Acknowledge an end once its own row is written

More than 500 ends of a worker stay unacknowledged while a leader cannot keep up.

Cause: the leader acknowledged ends only when no changed job at all was left to write (takeChanges: DirtyJobs.empty()).

Change: each applied end remembers its task and the transaction that takes the row with it. A worker's ends are acknowledged up to the first whose row is not durable. A row that is not waiting when the end is applied was taken with the newest transaction or an earlier one, and a rejected transaction gives its ends back.

--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -168,6 +168,8 @@
   void markDirty(JobProgress &Job, const TaskName &Task);
   /// The changed rows of a job; its final status comes first.
   std::vector<Change> changesOf(const JobProgress &Job) const;
+  /// Whether the row with the task waits to be written.
+  bool isUnsaved(const TaskName &Task) const;
   /// Takes the changes of a job as far as \p Room allows. Returns whether all
   /// were taken.
   bool takeJob(JobProgress &Job, Budget &Room, std::vector<Change> &Result);
@@ -255,7 +257,9 @@
   TimePoint LastSchedule{};
   bool FleetUnderHalfHeld = false;
   bool StartsHeld = false;
+  /// The newest transaction that is durable, and the newest that took changes.
   CommitNumber Durable = RestoredCommit;
+  CommitNumber NewestTaken = RestoredCommit;
 };
 
 } // namespace daisyspool::scheduling
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -6,6 +6,7 @@
 #include "daisyspool/runner/Sync.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -60,6 +61,15 @@
   TimePoint AssignedAt{};
 };
 
+/// An end that was applied and is not durably recorded yet.
+struct AppliedEnd {
+  EndNumber Number;
+  TaskName Task;
+  /// The transaction that records the end; 0 while the row with the task waits
+  /// to be written.
+  CommitNumber Commit;
+};
+
 /// The largest ratio of tail to target among the tasks of one serving image on
 /// a VM.
 struct ServiceTail {
@@ -85,9 +95,8 @@
   WorkerLife EndsLife;
   EndNumber EndsApplied;
   EndNumber EndsRecorded;
-  /// Ends that are recorded once the transaction EndsCommit is durable.
-  EndNumber EndsInCommit;
-  CommitNumber EndsCommit;
+  /// The ends after EndsRecorded that were applied, in order.
+  std::deque<AppliedEnd> UnrecordedEnds;
   std::uint64_t RefusalsApplied = 0;
   std::map<TaskName, Assignment> Assigned;
   Resources Held;
@@ -116,6 +125,9 @@
   void assign(const TaskName &Task, const Assignment &Run);
   /// Removes an assignment and frees its resources.
   void release(const TaskName &Task);
+  /// Advances EndsRecorded over the ends whose transaction is durable, up to
+  /// the first whose is not.
+  void recordEnds(CommitNumber Durable);
 };
 
 } // namespace daisyspool::scheduling
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -85,17 +85,20 @@
     return;
   if (Vm.EndsLife != Reply.Worker->Life) {
     Vm.EndsLife = Reply.Worker->Life;
-    Vm.EndsApplied = Vm.EndsRecorded = Vm.EndsInCommit = EndNumber{};
-    Vm.EndsCommit = CommitNumber{};
+    Vm.EndsApplied = Vm.EndsRecorded = EndNumber{};
+    Vm.UnrecordedEnds.clear();
   }
   for (const runner::EndedTask &End : Reply.Ended)
     if (End.Number > Vm.EndsApplied) {
       applyEnd(Vm, End, Now);
       Vm.EndsApplied = End.Number;
+      // A row that is not waiting has been taken with what the end changed, if
+      // it changed anything.
+      Vm.UnrecordedEnds.push_back(
+          {End.Number, End.Name.Task,
+           isUnsaved(End.Name.Task) ? CommitNumber{} : NewestTaken});
     }
-  // Without pending changes the store already has all that the ends changed.
-  if (DirtyJobs.empty() && Vm.EndsCommit <= Durable)
-    Vm.EndsRecorded = Vm.EndsApplied;
+  Vm.recordEnds(Durable);
 }
 
 void Scheduler::applyEnd(VmState &Vm, const runner::EndedTask &End,
--- a/src/scheduling/SchedulerStorage.cpp
+++ b/src/scheduling/SchedulerStorage.cpp
@@ -101,6 +101,18 @@
   DirtyJobs.push_back(Job.Record.Id);
 }
 
+bool Scheduler::isUnsaved(const TaskName &Task) const {
+  auto Found = Jobs.find(Task.Job);
+  if (Found == Jobs.end() || !Found->second.Dirty)
+    return false;
+
+  const JobProgress &Job = Found->second;
+  if (Job.TasksPerRow == 0 || Job.StatusOnly)
+    return true;
+  std::uint32_t Number = taskNumber(Job, Task);
+  return Job.DirtyParts.count(Number - Number % Job.TasksPerRow) != 0;
+}
+
 std::vector<Scheduler::Change>
 Scheduler::changesOf(const JobProgress &Job) const {
   std::vector<Change> Result;
@@ -156,6 +168,7 @@
                                                       Budget Room) {
   std::vector<Change> Result;
   LastTaken.clear();
+  NewestTaken = Number;
   std::size_t MaxJobs =
       Suspects.empty() ? DirtyJobs.size() : MaxJobsWithSuspects;
   std::size_t Count = 0;
@@ -173,11 +186,11 @@
       if (Found == Jobs.end() || !Found->second.Dirty)
         Run.Commit = Number;
     }
-    // Ends are acknowledged only when every job that they changed is written.
-    if (DirtyJobs.empty()) {
-      Vm->EndsInCommit = Vm->EndsApplied;
-      Vm->EndsCommit = Number;
-    }
+    // An end is acknowledged once the row that it changed is written, whatever
+    // else is waiting: a busy fleet always has changes.
+    for (AppliedEnd &End : Vm->UnrecordedEnds)
+      if (End.Commit == CommitNumber{} && !isUnsaved(End.Task))
+        End.Commit = Number;
   }
   return Result;
 }
@@ -198,8 +211,9 @@
     for (auto &[Name, Run] : Vm->Assigned)
       if (Run.Commit == Number)
         Run.Commit = CommitNumber{};
-    if (Vm->EndsCommit == Number)
-      Vm->EndsCommit = CommitNumber{};
+    for (AppliedEnd &End : Vm->UnrecordedEnds)
+      if (End.Commit == Number)
+        End.Commit = CommitNumber{};
   }
   bool HadChanges = !Rejected.empty();
   if (Rejected.size() == 1) {
@@ -232,8 +246,7 @@
   for (const auto &[Id, FirstTask] : LastTaken)
     Suspects.erase(Id);
   for (VmState *Vm : VmList)
-    if (Vm->EndsCommit != CommitNumber{} && Vm->EndsCommit <= Durable)
-      Vm->EndsRecorded = std::max(Vm->EndsRecorded, Vm->EndsInCommit);
+    Vm->recordEnds(Durable);
 }
 
 } // namespace daisyspool::scheduling
--- a/src/scheduling/VmState.cpp
+++ b/src/scheduling/VmState.cpp
@@ -24,4 +24,14 @@
   Assigned.erase(Found);
 }
 
+void VmState::recordEnds(CommitNumber Durable) {
+  while (!UnrecordedEnds.empty()) {
+    const AppliedEnd &Next = UnrecordedEnds.front();
+    if (Next.Commit == CommitNumber{} || Next.Commit > Durable)
+      return;
+    EndsRecorded = Next.Number;
+    UnrecordedEnds.pop_front();
+  }
+}
+
 } // namespace daisyspool::scheduling
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -160,6 +160,79 @@
       runner::EndNumber(1));
 }
 
+// Guards against ends that are never acknowledged while a busy fleet always has
+// changes to write: the worker has no room to list newer ones.
+TEST_CASE("an end is acknowledged while other jobs wait to be written") {
+  Fixture Setup(1, 16000);
+  const std::vector<std::string> Jobs{"a", "b", "c"};
+  for (const std::string &Id : Jobs)
+    Setup.Subject.addJob(job(Id, 1, 1000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  for (const std::string &Id : Jobs)
+    Setup.endRun("vm0", {JobId(Id), 0, 0, 0}, 1, runner::EndCause::Done);
+  auto Recorded = [&] {
+    return Setup.Subject.nextSync(VmId("vm0"), Epoch(1), Setup.Now)
+        .EndsRecorded;
+  };
+  for (std::uint64_t I = 1; I <= Jobs.size(); ++I) {
+    CommitNumber Number(++Setup.Commits);
+    Setup.Subject.takeChanges(Number, {1, 900'000});
+    REQUIRE(Recorded() == runner::EndNumber(I - 1));
+    Setup.Subject.onCommitted(Number);
+    REQUIRE(Recorded() == runner::EndNumber(I));
+  }
+}
+
+// Guards against the acknowledgement of an end whose transaction the store has
+// rejected: the next leader would start the task again.
+TEST_CASE("an end in a rejected transaction is not acknowledged") {
+  Fixture Setup(1, 16000);
+  for (const char *Id : {"a", "b"})
+    Setup.Subject.addJob(job(Id, 1, 1000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  for (const char *Id : {"a", "b"})
+    Setup.endRun("vm0", {JobId(Id), 0, 0, 0}, 1, runner::EndCause::Done);
+  CommitNumber Number(++Setup.Commits);
+  Setup.Subject.takeChanges(Number, {});
+  REQUIRE(Setup.Subject.onRejected(Number));
+  auto Recorded = [&] {
+    return Setup.Subject.nextSync(VmId("vm0"), Epoch(1), Setup.Now)
+        .EndsRecorded;
+  };
+  // While the rejected job is searched for, a transaction has one job.
+  for (std::uint64_t I = 0; I < 2; ++I, Number = Number.next()) {
+    REQUIRE(Recorded() == runner::EndNumber(I));
+    Setup.Subject.takeChanges(Number, {});
+    Setup.Subject.onCommitted(Number);
+  }
+  REQUIRE(Recorded() == runner::EndNumber(2));
+}
+
+// Guards against a job of thousands of tasks whose ends wait for all its rows.
+TEST_CASE("an end is acknowledged once its row of a large job is written") {
+  workload::JobRecord Wide = job("wide", 1000, 5);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(8);
+  Fixture Setup(1, 16000);
+  Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  for (std::uint32_t Index : {0U, 500U})
+    Setup.endRun("vm0", {Wide.Id, 0, 0, Index}, 1, runner::EndCause::Done);
+  auto Recorded = [&] {
+    return Setup.Subject.nextSync(VmId("vm0"), Epoch(1), Setup.Now)
+        .EndsRecorded;
+  };
+  for (std::uint64_t I = 1; I <= 2; ++I) {
+    CommitNumber Number(++Setup.Commits);
+    REQUIRE(Setup.Subject.takeChanges(Number, {1, 900'000}).size() == 1);
+    REQUIRE(Recorded() == runner::EndNumber(I - 1));
+    Setup.Subject.onCommitted(Number);
+    REQUIRE(Recorded() == runner::EndNumber(I));
+  }
+}
+
 // Load pattern: a burst of batch far beyond the fleet's capacity. Guards
 // against scheduling by deadline, which makes the whole burst late.
 TEST_CASE("in a burst the job with the least remaining work goes first") {
