Update the totals of a job with each task instead of computing them anew

Cause: each added occurrence and each end of a task computed the ready tasks, the remaining work and the longest path over all occurrences of the job, and an end asked all of them whether the job is complete. With N occurrences due at once the effort grows with N * N in one step of the event loop, and the ends cost as much again, so that each entry in turn was replaced while it was busy.

Change: the totals are kept in JobProgress. addOccurrence() and completeTask() update them from one occurrence; only restored jobs are summed up anew. An end visits its own task, or the members of its gang, instead of all tasks of the step.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -6,6 +6,7 @@
 #include "daisyspool/workload/JobDefinition.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -60,6 +61,18 @@
 
 struct OccurrenceProgress {
   std::vector<StepProgress> Steps;
+  /// The estimated duration of the longest chain of incomplete steps.
+  Millis RemainingCriticalPath{0};
+};
+
+/// Sums over the due occurrences of a job, which may be thousands. Updated with
+/// each task that is done and each occurrence that is added.
+struct ProgressTotals {
+  std::uint64_t DoneTasks = 0;
+  /// By step, the number of tasks that are not done.
+  std::vector<std::uint64_t> UnfinishedTasks;
+  /// The number of occurrences by their remaining critical path.
+  std::map<Millis, std::uint32_t> OccurrencesByPath;
 };
 
 /// What this process knows about whether any task of a job has started.
@@ -100,9 +113,11 @@
   bool Unstorable = false;
   /// Number of waiting tasks whose earlier steps are complete.
   std::uint32_t ReadyTasks = 0;
-  /// remainingCriticalPath() and remainingWork(), as of the last
-  /// updateDerivedFields().
+  ProgressTotals Totals;
+  /// The estimated duration of the longest chain of incomplete steps.
   Millis RemainingCriticalPath{0};
+  /// The estimated work of the tasks that are not done, in
+  /// millicore-milliseconds; the largest value if it is more.
   std::int64_t RemainingWork = 0;
 
   const workload::StepDefinition &stepDefinition(const TaskName &Task) const {
@@ -112,10 +127,16 @@
   TaskProgress *findTask(const TaskName &Task);
 };
 
-/// Adds an occurrence with all tasks waiting.
+/// Adds an occurrence with all tasks waiting. The cost does not depend on the
+/// number of occurrences.
 void addOccurrence(JobProgress &Job);
 
-/// Recomputes the derived fields after tasks were done or added.
+/// Marks a task as done. The cost depends on the task's occurrence only.
+/// Precondition: the job has the task, and it is not done.
+void completeTask(JobProgress &Job, const TaskName &Task);
+
+/// Recomputes the totals and the fields that derive from them, after the tasks
+/// were changed otherwise.
 void updateDerivedFields(JobProgress &Job);
 
 /// Whether all steps that must precede \p Step are complete.
@@ -128,13 +149,6 @@
 /// Whether every task of every repetition is done.
 bool isComplete(const JobProgress &Job);
 
-/// The estimated duration of the longest chain of incomplete steps.
-Millis remainingCriticalPath(const JobProgress &Job);
-
-/// The estimated work of the tasks that are not done, in
-/// millicore-milliseconds; the largest value if it is more.
-std::int64_t remainingWork(const JobProgress &Job);
-
 /// How many tasks of a job fit in one row of at most \p RowBytes, whatever runs
 /// they have; checkpoints not included. Precondition: \p RowBytes is at least
 /// 1,000.
--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -182,6 +182,63 @@
   return A > Max - B ? Max : A + B;
 }
 
+std::uint32_t waitingTasks(const StepProgress &Step) {
+  return static_cast<std::uint32_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), [](const auto &Task) {
+        return Task.Phase == TaskPhase::Waiting;
+      }));
+}
+
+/// The estimated duration of the longest chain of incomplete steps.
+Millis remainingCriticalPath(const JobProgress &Job,
+                             const OccurrenceProgress &Occurrence) {
+  Millis Longest{0};
+  std::vector<Millis> Finish(Occurrence.Steps.size(), Millis(0));
+  for (std::size_t I = 0; I < Finish.size(); ++I) {
+    const auto &Step = Job.Record.Definition.Steps[I];
+    for (std::uint32_t Earlier : Step.After)
+      Finish[I] = std::max(Finish[I], Finish[Earlier]);
+    if (!Occurrence.Steps[I].isComplete())
+      Finish[I] += Step.Estimate;
+    Longest = std::max(Longest, Finish[I]);
+  }
+
+  return Longest;
+}
+
+void countPath(JobProgress &Job, OccurrenceProgress &Occurrence) {
+  Occurrence.RemainingCriticalPath = remainingCriticalPath(Job, Occurrence);
+  ++Job.Totals.OccurrencesByPath[Occurrence.RemainingCriticalPath];
+}
+
+void addToTotals(JobProgress &Job, OccurrenceProgress &Occurrence) {
+  ProgressTotals &Totals = Job.Totals;
+  Totals.UnfinishedTasks.resize(Occurrence.Steps.size());
+  for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
+    const StepProgress &Step = Occurrence.Steps[I];
+    Totals.DoneTasks += Step.Done;
+    Totals.UnfinishedTasks[I] += Step.Tasks.size() - Step.Done;
+    if (!Step.isComplete() && isStepReady(Job, Occurrence, I))
+      Job.ReadyTasks += waitingTasks(Step);
+  }
+  countPath(Job, Occurrence);
+}
+
+/// Updates the fields that derive from the totals.
+void updateEstimates(JobProgress &Job) {
+  const auto &Paths = Job.Totals.OccurrencesByPath;
+  Job.RemainingCriticalPath = Paths.empty() ? Millis(0) : Paths.rbegin()->first;
+  const auto &Unfinished = Job.Totals.UnfinishedTasks;
+  Job.RemainingWork = 0;
+  for (std::size_t I = 0; I < Unfinished.size(); ++I) {
+    const auto &Step = Job.Record.Definition.Steps[I];
+    std::int64_t CpuWork = clampedProduct(
+        static_cast<std::int64_t>(Unfinished[I]), Step.Needs.Cpu.value());
+    Job.RemainingWork = clampedSum(
+        Job.RemainingWork, clampedProduct(CpuWork, Step.Estimate.count()));
+  }
+}
+
 } // namespace
 
 TaskProgress *JobProgress::findTask(const TaskName &Task) {
@@ -196,22 +253,44 @@
 
 void addOccurrence(JobProgress &Job) {
   Job.Occurrences.push_back(newOccurrence(Job));
-  updateDerivedFields(Job);
+  addToTotals(Job, Job.Occurrences.back());
+  updateEstimates(Job);
+}
+
+void completeTask(JobProgress &Job, const TaskName &Name) {
+  OccurrenceProgress &Occurrence = Job.Occurrences[Name.Occurrence];
+  StepProgress &Step = Occurrence.Steps[Name.Step];
+  TaskProgress &Task = Step.Tasks[Name.Index];
+  assert(Task.Phase != TaskPhase::Done);
+  if (Task.Phase == TaskPhase::Waiting)
+    --Job.ReadyTasks;
+  Task.Phase = TaskPhase::Done;
+  ++Step.Done;
+  ++Job.Totals.DoneTasks;
+  --Job.Totals.UnfinishedTasks[Name.Step];
+  if (Step.isComplete()) {
+    const auto &Definitions = Job.Record.Definition.Steps;
+    for (std::size_t I = 0; I < Definitions.size(); ++I) {
+      const auto &After = Definitions[I].After;
+      if (std::find(After.begin(), After.end(), Name.Step) != After.end() &&
+          isStepReady(Job, Occurrence, I))
+        Job.ReadyTasks += waitingTasks(Occurrence.Steps[I]);
+    }
+    auto &Paths = Job.Totals.OccurrencesByPath;
+    auto Before = Paths.find(Occurrence.RemainingCriticalPath);
+    if (--Before->second == 0)
+      Paths.erase(Before);
+    countPath(Job, Occurrence);
+  }
+  updateEstimates(Job);
 }
 
 void updateDerivedFields(JobProgress &Job) {
   Job.ReadyTasks = 0;
-  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
-    for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
-      const StepProgress &Step = Occurrence.Steps[I];
-      if (Step.isComplete() || !isStepReady(Job, Occurrence, I))
-        continue;
-      Job.ReadyTasks += static_cast<std::uint32_t>(std::count_if(
-          Step.Tasks.begin(), Step.Tasks.end(),
-          [](const auto &Task) { return Task.Phase == TaskPhase::Waiting; }));
-    }
-  Job.RemainingCriticalPath = remainingCriticalPath(Job);
-  Job.RemainingWork = remainingWork(Job);
+  Job.Totals = {};
+  for (OccurrenceProgress &Occurrence : Job.Occurrences)
+    addToTotals(Job, Occurrence);
+  updateEstimates(Job);
 }
 
 bool isStepReady(const JobProgress &Job, const OccurrenceProgress &Occurrence,
@@ -236,46 +315,7 @@
 }
 
 bool isComplete(const JobProgress &Job) {
-  if (Job.Occurrences.size() < maxOccurrences(Job))
-    return false;
-
-  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
-    for (const StepProgress &Step : Occurrence.Steps)
-      if (!Step.isComplete())
-        return false;
-  return true;
-}
-
-Millis remainingCriticalPath(const JobProgress &Job) {
-  Millis Longest{0};
-  for (const OccurrenceProgress &Occurrence : Job.Occurrences) {
-    std::vector<Millis> Finish(Occurrence.Steps.size(), Millis(0));
-    for (std::size_t I = 0; I < Finish.size(); ++I) {
-      const auto &Step = Job.Record.Definition.Steps[I];
-      for (std::uint32_t Earlier : Step.After)
-        Finish[I] = std::max(Finish[I], Finish[Earlier]);
-      if (!Occurrence.Steps[I].isComplete())
-        Finish[I] += Step.Estimate;
-      Longest = std::max(Longest, Finish[I]);
-    }
-  }
-
-  return Longest;
-}
-
-std::int64_t remainingWork(const JobProgress &Job) {
-  std::int64_t Sum = 0;
-  for (const OccurrenceProgress &Occurrence : Job.Occurrences)
-    for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
-      const auto &Step = Job.Record.Definition.Steps[I];
-      std::int64_t Unfinished = Step.Count - Occurrence.Steps[I].Done;
-      Sum = clampedSum(
-          Sum,
-          clampedProduct(clampedProduct(Unfinished, Step.Needs.Cpu.value()),
-                         Step.Estimate.count()));
-    }
-
-  return Sum;
+  return Job.Totals.DoneTasks == taskCount(Job);
 }
 
 std::uint32_t tasksPerRow(std::size_t RowBytes) {
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -143,15 +143,17 @@
   auto &Step = Job.Occurrences[Name.Occurrence].Steps[Name.Step];
   // The successful end of one member completes the whole gang.
   bool Gang = Job.stepDefinition(Name).Gang;
-  for (std::uint32_t N = 0; N < Step.Tasks.size(); ++N)
-    if ((Gang || N == Name.Index) && Step.Tasks[N].Phase != TaskPhase::Done) {
-      if (Step.Tasks[N].Phase == TaskPhase::Assigned)
-        onRunOver(Job, true);
-      Step.Tasks[N].Phase = TaskPhase::Done;
-      ++Step.Done;
-      markDirty(Job, {Name.Job, Name.Occurrence, Name.Step, N});
-    }
-  updateDerivedFields(Job);
+  std::uint32_t First = Gang ? 0 : Name.Index;
+  auto End = Gang ? static_cast<std::uint32_t>(Step.Tasks.size()) : First + 1;
+  for (std::uint32_t N = First; N < End; ++N) {
+    if (Step.Tasks[N].Phase == TaskPhase::Done)
+      continue;
+    if (Step.Tasks[N].Phase == TaskPhase::Assigned)
+      onRunOver(Job, true);
+    TaskName Member{Name.Job, Name.Occurrence, Name.Step, N};
+    completeTask(Job, Member);
+    markDirty(Job, Member);
+  }
   if (!isFinal(Job.Status) && isComplete(Job))
     endJob(Job, JobStatus::Completed);
 }
@@ -162,11 +164,12 @@
   const auto &Step = Job.stepDefinition(Name);
   avoidVm(Name, Vm.Id);
   // A gang fails as a whole.
-  for (std::uint32_t N = 0; N < Tasks.size(); ++N)
-    if (Step.Gang || N == Name.Index) {
-      ++Tasks[N].Failures;
-      markDirty(Job, {Name.Job, Name.Occurrence, Name.Step, N});
-    }
+  std::uint32_t First = Step.Gang ? 0 : Name.Index;
+  auto End = Step.Gang ? static_cast<std::uint32_t>(Tasks.size()) : First + 1;
+  for (std::uint32_t N = First; N < End; ++N) {
+    ++Tasks[N].Failures;
+    markDirty(Job, {Name.Job, Name.Occurrence, Name.Step, N});
+  }
 
   // Load pattern: a worker on which every task fails ends them at once, looks
   // idle and would attract the whole queue.
--- a/tests/scheduling/JobProgressTest.cpp
+++ b/tests/scheduling/JobProgressTest.cpp
@@ -1,10 +1,12 @@
 #include "daisyspool/scheduling/JobProgress.h"
 #include "daisyspool/core/Errors.h"
+#include "support/CpuTime.h"
 #include "support/OddValues.h"
 
 #include <catch2/catch.hpp>
 
 #include <limits>
+#include <random>
 
 using namespace daisyspool;
 using namespace daisyspool::scheduling;
@@ -174,3 +176,97 @@
   REQUIRE_THROWS_AS(decodePart(Job, 0, testing::deepMsgpack()), ProtocolError);
   REQUIRE(encodePart(Job, 0, RowBytes) == Before);
 }
+
+namespace {
+
+/// A job of a step of two tasks, one of three that follows it, and one beside
+/// them.
+JobProgress recurringJob(std::uint32_t Times) {
+  JobProgress Job;
+  Job.Record.Id = JobId("5c0e7a21d94b36f8");
+  auto &Steps = Job.Record.Definition.Steps;
+  Steps.resize(3);
+  for (std::uint32_t I = 0; I < 3; ++I) {
+    Steps[I].Count = I == 0 ? 2 : I == 1 ? 3 : 1;
+    Steps[I].Needs.Cpu = MilliCores(100 * (I + 1));
+    Steps[I].Estimate = Millis(1000 + 100 * I);
+  }
+  Steps[1].After = {0};
+  Job.Record.Definition.Repeats.Times = Times;
+  return Job;
+}
+
+/// Marks the task as being run, as the scheduler does.
+void assign(JobProgress &Job, const TaskName &Task) {
+  Job.findTask(Task)->Phase = TaskPhase::Assigned;
+  --Job.ReadyTasks;
+}
+
+} // namespace
+
+// Guards against totals that drift from the tasks: tasks would never be placed,
+// or the job never complete.
+TEST_CASE("updated totals of a job equal those that are computed anew") {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    INFO("seed " << Seed);
+    std::mt19937 Random(Seed);
+    JobProgress Job = recurringJob(5);
+    std::vector<TaskName> Open;
+    auto RequireSame = [&] {
+      JobProgress Anew = Job;
+      updateDerivedFields(Anew);
+      REQUIRE(Job.ReadyTasks == Anew.ReadyTasks);
+      REQUIRE(Job.RemainingWork == Anew.RemainingWork);
+      REQUIRE(Job.RemainingCriticalPath == Anew.RemainingCriticalPath);
+      REQUIRE(isComplete(Job) == isComplete(Anew));
+    };
+    while (Job.Occurrences.size() < 5 || !Open.empty()) {
+      if (Job.Occurrences.size() < 5 && Random() % 6 == 0) {
+        auto K = static_cast<std::uint32_t>(Job.Occurrences.size());
+        addOccurrence(Job);
+        for (const TaskName &Task : {TaskName{Job.Record.Id, K, 0, 0},
+                                     {Job.Record.Id, K, 0, 1},
+                                     {Job.Record.Id, K, 1, 0},
+                                     {Job.Record.Id, K, 1, 1},
+                                     {Job.Record.Id, K, 1, 2},
+                                     {Job.Record.Id, K, 2, 0}})
+          Open.push_back(Task);
+      } else if (!Open.empty()) {
+        auto Chosen =
+            Open.begin() + static_cast<std::ptrdiff_t>(Random() % Open.size());
+        if (isStepReady(Job, Job.Occurrences[Chosen->Occurrence],
+                        Chosen->Step)) {
+          REQUIRE_FALSE(isComplete(Job));
+          if (Random() % 2 == 0)
+            assign(Job, *Chosen);
+          completeTask(Job, *Chosen);
+          Open.erase(Chosen);
+        }
+      }
+      RequireSame();
+    }
+    REQUIRE(isComplete(Job));
+    REQUIRE(Job.RemainingWork == 0);
+    REQUIRE(Job.RemainingCriticalPath == Millis(0));
+  }
+}
+
+// Guards against a cost that grows with the square of the occurrences: one job
+// with 20,000 of them keeps each leader busy until the next one takes over.
+TEST_CASE("the cost of an occurrence does not grow with their number") {
+  constexpr std::uint32_t Times = 20000;
+  JobProgress Job = recurringJob(Times);
+  auto Adding = testing::cpuTime([&] {
+    for (std::uint32_t K = 0; K < Times; ++K)
+      addOccurrence(Job);
+  });
+  auto Completing = testing::cpuTime([&] {
+    for (std::uint32_t K = 0; K < Times; ++K)
+      for (std::uint32_t I = 0; I < 2; ++I)
+        completeTask(Job, {Job.Record.Id, K, 0, I});
+  });
+  // At least 20 steps of the event loop of a thousand occurrences each.
+  REQUIRE(Adding < 20 * testing::MaxStepTime);
+  REQUIRE(Completing < 20 * testing::MaxStepTime);
+  REQUIRE(Job.ReadyTasks == 4 * Times);
+}
