Restore a part of a job whose earlier parts cannot be read

Cause: decodePart() added one occurrence where a part may begin many occurrences further on, and wrote through a null pointer then. It takes one unreadable row of another part, so that each entry that takes over would end. Counting the done tasks of all occurrences after each part is left to updateDerivedFields(), which runs once.

--- a/src/scheduling/JobProgress.cpp
+++ b/src/scheduling/JobProgress.cpp
@@ -117,7 +117,6 @@
     for (std::size_t I = 0; I < Step.Tasks.size(); ++I)
       Step.Tasks[I] = taskFromJson(From.at(I));
   }
-  countDone(Step);
 }
 
 JobStatus statusFromJson(const json &Whole) {
@@ -281,8 +280,11 @@
 void updateDerivedFields(JobProgress &Job) {
   Job.ReadyTasks = 0;
   Job.Totals = {};
-  for (OccurrenceProgress &Occurrence : Job.Occurrences)
+  for (OccurrenceProgress &Occurrence : Job.Occurrences) {
+    for (StepProgress &Step : Occurrence.Steps)
+      countDone(Step);
     addToTotals(Job, Occurrence);
+  }
   updateEstimates(Job);
 }
 
@@ -428,16 +430,13 @@
       Decoded.push_back(taskFromJson(Each));
 
     TaskName Task = taskAt(Job, FirstTask);
-    std::uint32_t FirstOccurrence = Task.Occurrence;
     for (TaskProgress &Each : Decoded) {
-      if (Job.Occurrences.size() <= Task.Occurrence)
+      // The parts before this one may not have been stored.
+      while (Job.Occurrences.size() <= Task.Occurrence)
         Job.Occurrences.push_back(newOccurrence(Job));
       *Job.findTask(Task) = std::move(Each);
       advance(Job, Task);
     }
-    for (std::size_t K = FirstOccurrence; K < Job.Occurrences.size(); ++K)
-      for (StepProgress &Step : Job.Occurrences[K].Steps)
-        countDone(Step);
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("stored progress: ") + Problem.what());
   }
--- a/tests/scheduling/JobProgressTest.cpp
+++ b/tests/scheduling/JobProgressTest.cpp
@@ -177,6 +177,24 @@
   REQUIRE(encodePart(Job, 0, RowBytes) == Before);
 }
 
+// Guards against a leader that ends when it reads a part of a job whose earlier
+// parts are not stored.
+TEST_CASE("a part is restored without the parts before it") {
+  JobProgress Job;
+  Job.Record.Definition.Steps.resize(1);
+  Job.Record.Definition.Repeats.Times = 1000;
+  Job.TasksPerRow = tasksPerRow(RowBytes);
+  JobProgress Restored = Job;
+  for (int K = 0; K < 500; ++K)
+    addOccurrence(Job);
+  completeTask(Job, {Job.Record.Id, 410, 0, 0});
+  decodePart(Restored, 400, encodePart(Job, 400, RowBytes));
+  updateDerivedFields(Restored);
+  REQUIRE(Restored.Occurrences.size() == 500);
+  REQUIRE(Restored.Occurrences[410].Steps[0].isComplete());
+  REQUIRE(Restored.ReadyTasks == 499);
+}
+
 namespace {
 
 /// A job of a step of two tasks, one of three that follows it, and one beside
