Write the rows of a large job in turn with those of other jobs

Cause: a job with more changed rows than a transaction takes stayed first in the queue of changed jobs, and its first rows first in its own. While its tasks go on ending it always has more, so that neither other jobs nor its last rows were written. All its rows were encoded for each transaction, too.

Change: a job of which a transaction takes only some rows goes to the end of the queue, and its next rows follow those that were taken. Rows are encoded as far as they fit. The rows of a job that fits are still written together.

--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -112,6 +112,9 @@
   /// By the number of their first task, the parts of a job in several rows that
   /// have changed since they were last taken for a transaction.
   std::set<std::uint32_t> DirtyParts;
+  /// The first part to take next, so that each has its turn if a transaction
+  /// takes only some.
+  std::uint32_t NextPart = 0;
   /// The status of the newest row that was taken, of a job in several rows.
   std::optional<JobStatus> TakenStatus;
   /// The store rejected the progress; only the status is stored from then on.
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -7,6 +7,7 @@
 #include "daisyspool/workload/FleetConfig.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -170,13 +171,19 @@
 
   void markDirty(JobProgress &Job);
   void markDirty(JobProgress &Job, const TaskName &Task);
-  /// The changed rows of a job; its final status comes first.
-  std::vector<Change> changesOf(const JobProgress &Job) const;
+  /// The changed rows of a job by their first task, in the order in which they
+  /// are taken; empty for the row with the status.
+  static std::vector<std::optional<std::uint32_t>>
+  changedRows(const JobProgress &Job);
+  Change encodeRow(const JobProgress &Job,
+                   std::optional<std::uint32_t> FirstTask) const;
+  enum class TakenRows : std::uint8_t { None, Some, All };
   /// Whether the row with the task waits to be written.
   bool isUnsaved(const TaskName &Task) const;
-  /// Takes the changes of a job as far as \p Room allows. Returns whether all
-  /// were taken.
-  bool takeJob(JobProgress &Job, Budget &Room, std::vector<Change> &Result);
+  /// Takes the changes of a job as far as \p Room allows; a part of them only
+  /// as the first of a transaction.
+  TakenRows takeJob(JobProgress &Job, Budget &Room,
+                    std::vector<Change> &Result);
   /// Ends a job whose changes the store rejects.
   void abandon(JobProgress &Job);
   /// Assigns the restored runs of a job and ends it if its status is final.
@@ -243,7 +250,8 @@
   JobMap Jobs;
   std::map<VmId, VmState> Vms;
   std::vector<VmState *> VmList;
-  std::vector<JobId> DirtyJobs;
+  /// The jobs with changes to write, oldest first.
+  std::deque<JobId> DirtyJobs;
   /// The changes of the newest transaction, by job and first task.
   std::vector<std::pair<JobId, std::optional<std::uint32_t>>> LastTaken;
   /// Jobs of a rejected transaction that have not been written since, and how
--- a/src/scheduling/SchedulerStorage.cpp
+++ b/src/scheduling/SchedulerStorage.cpp
@@ -113,55 +113,70 @@
   return Job.DirtyParts.count(Number - Number % Job.TasksPerRow) != 0;
 }
 
-std::vector<Scheduler::Change>
-Scheduler::changesOf(const JobProgress &Job) const {
-  std::vector<Change> Result;
+std::vector<std::optional<std::uint32_t>>
+Scheduler::changedRows(const JobProgress &Job) {
+  std::vector<std::optional<std::uint32_t>> Result;
   bool InParts = Job.TasksPerRow != 0;
-  if (InParts && !Job.StatusOnly)
-    for (std::uint32_t First : Job.DirtyParts)
-      Result.push_back(
-          {Job.Record.Id, First, encodePart(Job, First, Config.RowBytes)});
+  if (InParts && !Job.StatusOnly) {
+    auto Next = Job.DirtyParts.lower_bound(Job.NextPart);
+    Result.insert(Result.end(), Next, Job.DirtyParts.end());
+    Result.insert(Result.end(), Job.DirtyParts.begin(), Next);
+  }
   if (InParts && Job.TakenStatus == Job.Status)
     return Result;
 
   // The changes may need several transactions. A successor must not start tasks
   // of an ended job, and must find the tasks that an earlier version stored in
   // the row with the status until their parts are stored.
-  auto Position = isFinal(Job.Status) ? Result.begin() : Result.end();
-  Result.insert(Position, {Job.Record.Id, std::nullopt,
-                           encodeProgress(Job, Config.RowBytes)});
+  Result.insert(isFinal(Job.Status) ? Result.begin() : Result.end(),
+                std::nullopt);
   return Result;
 }
 
-bool Scheduler::takeJob(JobProgress &Job, Budget &Room,
-                        std::vector<Change> &Result) {
-  std::vector<Change> Changes = changesOf(Job);
-  auto Cost = [](const Change &Each) {
-    constexpr std::size_t OtherNameBytes = 32;
-    return rows::encodedBytes(Each.Job.str().size() + OtherNameBytes,
-                              Each.Progress.size());
-  };
-  std::size_t Bytes = 0;
-  for (const Change &Each : Changes)
-    Bytes += Cost(Each);
-  bool Fits = Changes.size() <= Room.Rows && Bytes <= Room.Bytes;
-  if (!Fits && !Result.empty())
-    return false;
+Scheduler::Change
+Scheduler::encodeRow(const JobProgress &Job,
+                     std::optional<std::uint32_t> FirstTask) const {
+  return {Job.Record.Id, FirstTask,
+          FirstTask ? encodePart(Job, *FirstTask, Config.RowBytes)
+                    : encodeProgress(Job, Config.RowBytes)};
+}
 
-  for (Change &Each : Changes) {
-    if (Room.Rows == 0 || Cost(Each) > Room.Bytes)
-      return false;
-    --Room.Rows;
-    Room.Bytes -= Cost(Each);
-    if (Each.FirstTask)
+Scheduler::TakenRows Scheduler::takeJob(JobProgress &Job, Budget &Room,
+                                        std::vector<Change> &Result) {
+  constexpr std::size_t OtherNameBytes = 32;
+  Budget Left = Room;
+  std::vector<Change> Taken;
+  bool TookAll = true;
+  // Rows are encoded only as far as they fit: a job may have hundreds.
+  for (const auto &FirstTask : changedRows(Job)) {
+    Change Next = encodeRow(Job, FirstTask);
+    std::size_t Bytes = rows::encodedBytes(
+        Next.Job.str().size() + OtherNameBytes, Next.Progress.size());
+    TookAll = Left.Rows > 0 && Bytes <= Left.Bytes;
+    if (!TookAll)
+      break;
+    --Left.Rows;
+    Left.Bytes -= Bytes;
+    Taken.push_back(std::move(Next));
+  }
+  if (!TookAll && !Result.empty())
+    return TakenRows::None;
+
+  Room = Left;
+  for (Change &Each : Taken) {
+    if (Each.FirstTask) {
       Job.DirtyParts.erase(*Each.FirstTask);
-    else
+      Job.NextPart = *Each.FirstTask + 1;
+    } else {
       Job.TakenStatus = Job.Status;
+    }
     LastTaken.emplace_back(Each.Job, Each.FirstTask);
     Result.push_back(std::move(Each));
   }
+  if (!TookAll)
+    return TakenRows::Some;
   Job.Dirty = false;
-  return true;
+  return TakenRows::All;
 }
 
 std::vector<Scheduler::Change> Scheduler::takeChanges(CommitNumber Number,
@@ -171,12 +186,18 @@
   NewestTaken = Number;
   std::size_t MaxJobs =
       Suspects.empty() ? DirtyJobs.size() : MaxJobsWithSuspects;
-  std::size_t Count = 0;
-  while (Count < std::min(MaxJobs, DirtyJobs.size()) &&
-         takeJob(Jobs.at(DirtyJobs[Count]), Room, Result))
-    ++Count;
-  DirtyJobs.erase(DirtyJobs.begin(),
-                  DirtyJobs.begin() + static_cast<std::ptrdiff_t>(Count));
+  MaxJobs = std::min(MaxJobs, DirtyJobs.size());
+  for (TakenRows Last = TakenRows::All; MaxJobs > 0 && Last == TakenRows::All;
+       --MaxJobs) {
+    Last = takeJob(Jobs.at(DirtyJobs.front()), Room, Result);
+    if (Last == TakenRows::None)
+      break;
+    // A job with more rows than a transaction takes must not hold up those
+    // behind it.
+    if (Last == TakenRows::Some)
+      DirtyJobs.push_back(DirtyJobs.front());
+    DirtyJobs.pop_front();
+  }
 
   for (VmState *Vm : VmList) {
     for (auto &[Name, Run] : Vm->Assigned) {
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -593,6 +593,42 @@
   REQUIRE(Setup.Subject.hasOrders(VmId("vm0")));
 }
 
+// Guards against a large job that always has more changed rows than a
+// transaction takes: neither the other jobs nor its last rows would be written.
+TEST_CASE("the rows of a large job and of other jobs are written in turn") {
+  workload::JobRecord Wide = job("wide", 5000, 5);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(4);
+  Fixture Setup(2, 16000);
+  Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  Setup.Subject.addJob(job("other", 1, 1000), Millis(0), Setup.Now);
+  std::map<VmId, std::vector<TaskName>> Runs;
+  for (const auto &[Vm, Reply] : Setup.Replies)
+    for (const auto &[Task, Run] : Setup.Subject.vm(Vm)->Assigned)
+      Runs[Vm].push_back(Task);
+  REQUIRE(Runs.size() == 2);
+  // A run of each row ends before each transaction.
+  std::set<JobId> Jobs;
+  std::set<std::uint32_t> Parts;
+  for (std::size_t I = 0; I < 8; ++I) {
+    for (auto &[Vm, Tasks] : Runs)
+      for (std::size_t N = I; N < Tasks.size(); N += 100)
+        Setup.endRun(Vm.str(), Tasks[N], 1, runner::EndCause::Done);
+    Setup.Subject.schedule(Setup.Now, Wall);
+    CommitNumber Number(++Setup.Commits);
+    for (const auto &Change : Setup.Subject.takeChanges(Number, {5, 900'000})) {
+      Jobs.insert(Change.Job);
+      if (Change.FirstTask)
+        Parts.insert(*Change.FirstTask);
+    }
+    Setup.Subject.onCommitted(Number);
+    if (I == 1)
+      REQUIRE(Jobs.count(JobId("other")) == 1);
+  }
+  REQUIRE(Parts.size() == 25);
+}
+
 // Guards against the progress of an earlier version, all in one row, that is
 // lost when the job is next written in several.
 TEST_CASE("progress that an earlier version wrote in one row is kept") {
