Do not write restored runs again at a takeover

Cause: a new leader counted each restored run with the function that assigns a new one, which marks the job as changed.

Change: counting a run on its VM is separate from assigning it; a restored job is changed only if its status is.

--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -233,6 +233,9 @@
   Assignment newAssignment(const JobProgress &Job, const TaskName &Name,
                            RunNumber Run, const VmState &Vm,
                            TimePoint Now) const;
+  /// Counts the run of a task on its VM, without a change to write.
+  void countRun(JobProgress &Job, const TaskName &Name, const Assignment &Run,
+                VmState &Vm, TimePoint Now);
   void assignTask(JobProgress &Job, const TaskName &Name, RunNumber Run,
                   VmState &Vm, TimePoint Now);
   bool isBlocked(const VmRequest &Request) const;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -477,28 +477,28 @@
 
 void Scheduler::assignTask(JobProgress &Job, const TaskName &Name,
                            RunNumber Run, VmState &Vm, TimePoint Now) {
+  assert(Vm.Worker);
   TaskProgress &Task = *Job.findTask(Name);
-  if (Task.Phase == TaskPhase::Waiting)
-    --Job.ReadyTasks;
+  --Job.ReadyTasks;
   Task.Phase = TaskPhase::Assigned;
   Task.LastRun = Run;
   Task.Vm = Vm.Id;
-  if (Vm.Worker)
-    Task.Life = Vm.Worker->Life;
+  Task.Life = Vm.Worker->Life;
+  countRun(Job, Name, newAssignment(Job, Name, Run, Vm, Now), Vm, Now);
+  markDirty(Job, Name);
+}
 
-  Assignment Assigned = newAssignment(Job, Name, Run, Vm, Now);
-  // A restored run is in the stored life until the worker is known.
-  Assigned.Life = Task.Life;
-  Vm.assign(Name, Assigned);
+void Scheduler::countRun(JobProgress &Job, const TaskName &Name,
+                         const Assignment &Run, VmState &Vm, TimePoint Now) {
+  Vm.assign(Name, Run);
   ++Job.AssignedTasks;
   if (Job.Status == JobStatus::Queued)
     Job.Status = JobStatus::Active;
-  markDirty(Job, Name);
   LogEvent(LogLevel::Info, "run_assigned")
       .with("task", workload::toString(Name))
-      .with("run", Run)
+      .with("run", Run.Run)
       .with("vm", Vm.Id)
-      .with("life", Task.Life)
+      .with("life", Run.Life)
       .with("report_age_ms",
             std::chrono::duration_cast<Millis>(Now - Vm.LastReply).count())
       .with("held_cpu", Vm.Held.Cpu.value())
--- a/src/scheduling/SchedulerStorage.cpp
+++ b/src/scheduling/SchedulerStorage.cpp
@@ -64,19 +64,24 @@
     for (StepProgress &Step : Occurrence.Steps)
       for (TaskProgress &Task : Step.Tasks)
         Task.WaitingSince = Now;
+  JobStatus StoredStatus = Job.Status;
   for (const TaskName &Name : assignedTasks(Job)) {
     const TaskProgress &Task = *Job.findTask(Name);
     addVm(Task.Vm, Now);
     VmState &Vm = Vms.at(Task.Vm);
-    assignTask(Job, Name, Task.LastRun, Vm, Now);
-    Assignment &Run = Vm.Assigned.at(Name);
+    Assignment Run = newAssignment(Job, Name, Task.LastRun, Vm, Now);
     Run.Life = Task.Life;
     Run.Commit = RestoredCommit;
     // The agent's first reply shows whether it has the order.
     Run.SentInSync = 1;
     Run.NewestOrderSync = 1;
     Run.Stopping = isFinal(Job.Status);
+    countRun(Job, Name, Run, Vm, Now);
   }
+  // Nothing else has changed: a new leader with thousands of runs must not
+  // write them all again before its first decisions.
+  if (Job.Status != StoredStatus)
+    markDirty(Job);
   // An active job has either a run or a task that has started.
   if (Job.Status == JobStatus::Active)
     Job.Started =
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -923,6 +923,31 @@
   REQUIRE(Next.runCount("large") == Setup.runCount("large"));
 }
 
+// Guards against a new leader that writes every restored run again before its
+// first decisions: with thousands of them that takes dozens of transactions.
+TEST_CASE("restored runs are not written again") {
+  workload::JobRecord Wide = job("wide", 1000, 5);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(8);
+  Fixture Setup(2, 16000);
+  Rows Stored;
+  Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+  Setup.Subject.addJob(job("a", 3, 1000), Millis(0), Setup.Now);
+  Setup.scheduleAll();
+  commitAll(Setup, Stored);
+
+  Fixture Next(2, 16000);
+  Next.Subject.addJob(Wide, Millis(0), Next.Now);
+  Next.Subject.addJob(job("a", 3, 1000), Millis(0), Next.Now);
+  restoreAll(Next.Subject, Stored, Next.Now);
+  REQUIRE_FALSE(Next.Subject.hasChanges());
+  REQUIRE(Next.runCount("wide") == 1000);
+  REQUIRE(Next.runCount("a") == 3);
+  Next.endRun("vm0", {JobId("a"), 0, 0, 0}, 1, runner::EndCause::Done);
+  Rows Changed;
+  commitAll(Next, Changed);
+  REQUIRE(Changed.size() == 1);
+}
+
 // Guards against occurrences that wait for good behind others that find no VM.
 TEST_CASE("each occurrence is tried although earlier ones find no VM") {
   Fixture Setup(2, 40000);
