Remember each refusal until the leader has seen it

Cause: an agent remembered 2,000 refused tasks and dropped the first in order of names. A start that it has refused is started elsewhere; the leader may repeat the order before it sees the refusal, and beyond 2,000 the agent carried it out.

Change: the limit applies to refusals that the leader has acknowledged, oldest first. Any order that was sent before the acknowledgement has a lower sync number, and the agent ignores the starts of such a sync. Refused runs are looked up by name instead of searched for in the list.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -7,6 +7,7 @@
 #include "daisyspool/runner/Sync.h"
 #include "daisyspool/runner/WorkerPort.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -96,6 +97,13 @@
     std::uint32_t PacedTo = 100;
   };
 
+  struct RememberedRefusal {
+    /// The highest run of the task that was refused.
+    RunNumber Run;
+    /// The newest refusal of the task.
+    std::uint64_t Number = 0;
+  };
+
   struct Pace {
     std::uint32_t Percent = 100;
     /// The largest ratio of tail latency to target among the services that the
@@ -123,6 +131,7 @@
   void onStopOutcome(const RunName &Name, const OrderOutcome &Outcome);
   void retryLater(const RunName &Name, Millis Delay);
   void refuse(const RunName &Name, RefusalReason Reason);
+  void forgetOldRefusals();
   void raiseToken();
   void sendHold();
   void scheduleHold(Millis Delay);
@@ -200,8 +209,13 @@
   std::map<RunName, RunTraits> TraitsByRun;
   std::map<RunName, ProgressSample> Progress;
   std::vector<RefusedRun> Refused;
+  std::set<RunName> RefusedNames;
   std::uint64_t LastRefusal = 0;
-  std::map<TaskName, RunNumber> RefusedUpTo;
+  /// The newest refusal that the leader has seen.
+  std::uint64_t RefusalsSeen = 0;
+  std::map<TaskName, RememberedRefusal> RefusedUpTo;
+  /// The numbers and tasks of the refusals in RefusedUpTo, oldest first.
+  std::deque<std::pair<std::uint64_t, TaskName>> RefusalOrder;
   std::vector<RunName> Stalled;
   /// By serving image on this VM, the pace of the tasks that may disturb it.
   std::map<workload::ImageId, FillPacer> Pacers;
--- a/src/runner/AgentOrders.cpp
+++ b/src/runner/AgentOrders.cpp
@@ -18,7 +18,8 @@
 /// Added to the token when the worker knows a higher one; more than the
 /// milliseconds by which a clock is expected to be set back.
 constexpr std::uint64_t TokenStep = 60000;
-/// Number of refused tasks that are remembered; the refusals of some minutes.
+/// Number of refusals that are remembered after the leader has seen them; those
+/// of some minutes.
 constexpr std::size_t MaxRememberedRefusals = 2000;
 
 template <typename... Handlers> struct Overloaded : Handlers... {
@@ -52,12 +53,9 @@
   // received the refusal, and starts the task elsewhere after that.
   auto LastRefused = RefusedUpTo.find(Start.Name.Task);
   if (LastRefused != RefusedUpTo.end() &&
-      Start.Name.Run <= LastRefused->second) {
+      Start.Name.Run <= LastRefused->second.Run) {
     // A new leader may not have received the refusal.
-    bool Listed =
-        std::any_of(Refused.begin(), Refused.end(),
-                    [&](auto &Refusal) { return Refusal.Name == Start.Name; });
-    if (!Listed)
+    if (RefusedNames.count(Start.Name) == 0)
       refuse(Start.Name, RefusalReason::Cancelled);
     return;
   }
@@ -234,12 +232,26 @@
   Orders.erase(Name);
   TraitsByRun.erase(Name);
   Refused.push_back({++LastRefusal, Name, Reason});
-  if (RefusedUpTo.size() >= MaxRememberedRefusals)
-    RefusedUpTo.erase(RefusedUpTo.begin());
-  RefusedUpTo[Name.Task] = std::max(RefusedUpTo[Name.Task], Name.Run);
+  RefusedNames.insert(Name);
+  RememberedRefusal &Remembered = RefusedUpTo[Name.Task];
+  Remembered = {std::max(Remembered.Run, Name.Run), LastRefusal};
+  RefusalOrder.emplace_back(LastRefusal, Name.Task);
   reportChange();
 }
 
+/// A refusal that the leader has not seen is never forgotten: the leader may
+/// still send the order again, and starts the task elsewhere later.
+void AgentSession::forgetOldRefusals() {
+  while (RefusalOrder.size() > MaxRememberedRefusals &&
+         RefusalOrder.front().first <= RefusalsSeen) {
+    const auto &[Number, Task] = RefusalOrder.front();
+    auto Found = RefusedUpTo.find(Task);
+    if (Found != RefusedUpTo.end() && Found->second.Number == Number)
+      RefusedUpTo.erase(Found);
+    RefusalOrder.pop_front();
+  }
+}
+
 void AgentSession::raiseToken() {
   Token = FencingToken(Token.value() + TokenStep);
   LogEvent(LogLevel::Warning, "token_raised").with("token", Token);
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -249,8 +249,13 @@
       scheduleHold(Millis(0));
   }
   std::erase_if(Refused, [&](const RefusedRun &Refusal) {
-    return Refusal.Number <= Request.RefusalsSeen;
+    bool IsSeen = Refusal.Number <= Request.RefusalsSeen;
+    if (IsSeen)
+      RefusedNames.erase(Refusal.Name);
+    return IsSeen;
   });
+  RefusalsSeen = std::max(RefusalsSeen, Request.RefusalsSeen);
+  forgetOldRefusals();
 }
 
 void AgentSession::removeRecordedEnds() {
--- a/tests/runner/AgentFixture.h
+++ b/tests/runner/AgentFixture.h
@@ -22,6 +22,7 @@
   TargetId Id{"w"};
   StartOutcome StartAnswer = Started{};
   WorkerListing Listing;
+  std::size_t Starts = 0;
   std::size_t Stops = 0;
   std::size_t Holds = 0;
   /// The newest pace of each run that was ordered, in percent.
@@ -29,6 +30,7 @@
 
   void start(FencingToken, const TargetId &, const WorkerStart &,
              std::function<void(StartOutcome)> Done) override {
+    ++Starts;
     Loop.after(Millis(20), [this, Done] { Done(StartAnswer); });
   }
   void stop(FencingToken, const TargetId &, const RunName &,
--- a/tests/runner/AgentSessionTest.cpp
+++ b/tests/runner/AgentSessionTest.cpp
@@ -222,3 +222,26 @@
   REQUIRE(Setup.Newest.Starting.empty());
   REQUIRE(Setup.Newest.Ended.size() == 1);
 }
+
+// Guards against a second run of a task: its refusal was forgotten before the
+// leader had seen it, and the leader's repeated order starts the run after it
+// was started elsewhere.
+TEST_CASE("no refusal is forgotten before the leader has seen it") {
+  constexpr std::uint32_t Count = 3000;
+  Fixture Setup;
+  Setup.follow(Millis(7000));
+  Setup.Worker.StartAnswer = StartRefused{RefusalReason::NoRoom};
+  std::vector<StartOrder> Starts(Count, Setup.order());
+  for (std::uint32_t I = 0; I < Count; ++I)
+    Starts[I].Name.Task.Index = I;
+  Setup.sync(Starts, {});
+  Setup.Loop.runFor(Millis(100));
+  Setup.sync({}, {});
+  REQUIRE(Setup.Newest.Refused.size() == Count);
+
+  Setup.Worker.StartAnswer = Started{};
+  std::size_t Before = Setup.Worker.Starts;
+  Setup.sync(Starts, {});
+  Setup.Loop.runFor(Millis(100));
+  REQUIRE(Setup.Worker.Starts == Before);
+}
