Send the orders of a worker in parts that its agent takes

Cause: a sync carried all orders of a VM. Beyond 4 MiB the agent's server answers 413, and the leader repeated the same request until the grant had expired, with the grants and stops of all other runs on that VM in it.

Change: a sync has orders of at most 1 MiB and one order more; the others follow in the next syncs, as hasOrders() stays true. Stops count as well.

--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -21,6 +21,20 @@
   return {};
 }
 
+/// Upper bound for the orders of one sync: a quarter of what an agent's server
+/// takes, and a fraction of a second on a link of 20 Mbit/s.
+constexpr std::size_t MaxOrderBytes = 1024 * 1024;
+/// Of an order's names, numbers and encoding; more than they take.
+constexpr std::size_t OtherOrderBytes = 200;
+
+std::size_t bytesOf(const runner::StartOrder &Start) {
+  std::size_t Result = OtherOrderBytes + Start.Spec.size() +
+                       Start.Checkpoint.size() + Start.Image.str().size();
+  for (const workload::ImageId &Image : Start.HarmlessTo)
+    Result += OtherOrderBytes + Image.str().size();
+  return Result;
+}
+
 Millis stallTimeout(const workload::StepDefinition &Step) {
   // Well above one percent of a long task's duration, and above a start-up.
   constexpr Millis MinTaskTimeout{1500};
@@ -339,11 +353,16 @@
     Vm.LatestGrantExpiry = std::max(
         Vm.LatestGrantExpiry, Vm.LastReply + Config.Grant + Config.GrantMargin);
 
+  // The others follow in the next syncs: hasOrders() stays true.
+  std::size_t Bytes = 0;
   for (auto &[Name, Run] : Vm.Assigned) {
+    if (Bytes >= MaxOrderBytes)
+      break;
     if (Run.Stopping) {
       if (Run.StopSentInSync == 0) {
         Run.StopSentInSync = Sync.Number;
         Sync.Stops.push_back({Name, Run.Run});
+        Bytes += OtherOrderBytes;
       }
       continue;
     }
@@ -366,6 +385,7 @@
                            Step.FillsIdleCpu
                                ? Tails.unaffectedImages(Step.Image, Now)
                                : std::vector<workload::ImageId>{}});
+    Bytes += bytesOf(Sync.Starts.back());
   }
   return Sync;
 }
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -100,6 +100,30 @@
   requireNoViolations(Fleet);
 }
 
+// Guards against a job whose starts for a worker exceed what its agent takes in
+// one request: no sync would reach the agent, and the worker's lease lapses.
+TEST_CASE("a job with long texts starts on one worker") {
+  VirtualFleet Fleet(11, 3, 2, {MilliCores(16000), MebiBytes(64000), {}});
+  Fleet.Loop.runFor(Millis(3000));
+  auto Lasting = chainJob("lasting", 1, 2);
+  Lasting.Definition.Steps[0].LongRunning = true;
+  Fleet.submit(0, Lasting, Millis(500));
+  auto Large = chainJob("large", 1, 1200, 10);
+  Large.Definition.Steps[0].Needs.Memory = MebiBytes(10);
+  Large.Definition.Spec = std::string(4000, 'x');
+  // Orders that got no reply are all due at once.
+  Fleet.Loop.runFor(Millis(500));
+  Fleet.CutOff = {true, true};
+  Fleet.submit(1, Large, Millis(500));
+  Fleet.Loop.runFor(Millis(700));
+  Fleet.CutOff = {false, false};
+  Fleet.Loop.runFor(Millis(3500));
+  REQUIRE(Fleet.status(Large.Id) == JobStatus::Completed);
+  REQUIRE(Fleet.Invariants.Starts >= 1202);
+  REQUIRE(Fleet.Invariants.Lapses == 0);
+  requireNoViolations(Fleet);
+}
+
 // Guards against a store's final refusal that is taken for a passing one: the
 // leader would repeat it, renew nothing, and be replaced by one that repeats it
 // too.
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -4,6 +4,7 @@
 #ifndef DAISYSPOOL_TESTS_FLEET_VIRTUALFLEET_H
 #define DAISYSPOOL_TESTS_FLEET_VIRTUALFLEET_H
 
+#include "daisyspool/http/Server.h"
 #include "daisyspool/intake/intake.h"
 #include "daisyspool/leadership/LeaderDuty.h"
 #include "fleet/VirtualWorker.h"
@@ -331,6 +332,11 @@
                        [Finish] { Finish(leadership::SyncFailed{"late"}); });
       // Encodes the messages, so that the codec is tested as well.
       std::string Bytes = runner::encode(Request);
+      if (Bytes.size() > http::Server::Options{}.MaxBodyBytes) {
+        Owner.Loop.after(2 * NetworkDelay,
+                         [Finish] { Finish(leadership::SyncFailed{"413"}); });
+        return;
+      }
       Owner.Loop.after(NetworkDelay, [&Fleet = Owner, AgentIndex = AgentIndex,
                                       Bytes, Finish] {
         if (Fleet.CutOff[AgentIndex])
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -1,6 +1,8 @@
 #include "daisyspool/scheduling/scheduling.h"
 
+#include "daisyspool/http/Server.h"
 #include "daisyspool/rows/RowStore.h"
+#include "daisyspool/workload/Limits.h"
 #include "support/CpuTime.h"
 
 #include <catch2/catch.hpp>
@@ -948,6 +950,45 @@
   REQUIRE(Changed.size() == 1);
 }
 
+// Guards against orders for one worker that together exceed what its agent
+// takes: they would be sent again until the worker's lease has lapsed.
+TEST_CASE("the orders of a sync are within what an agent takes") {
+  constexpr std::size_t AgentBodyBytes = http::Server::Options{}.MaxBodyBytes;
+  workload::JobRecord Wide = job("wide", 5000, 1);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(1);
+  Wide.Definition.Spec = std::string(workload::MaxSpecBytes, 'x');
+  Fixture Setup(1, 16000);
+  Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  REQUIRE(Setup.runCount("wide") == 5000);
+  VmId Vm("vm0");
+  auto Send = [&](auto Orders) {
+    std::set<TaskName> Sent;
+    while (Setup.Subject.hasOrders(Vm)) {
+      auto Sync = Setup.Subject.nextSync(Vm, Epoch(1), Setup.Now);
+      REQUIRE(runner::encode(Sync).size() < AgentBodyBytes / 2);
+      std::size_t Before = Sent.size();
+      for (const auto &Order : Orders(Sync))
+        Sent.insert(Order);
+      REQUIRE(Sent.size() > Before);
+    }
+    return Sent.size();
+  };
+  REQUIRE(Send([](const auto &Sync) {
+            std::vector<TaskName> Result;
+            for (const auto &Each : Sync.Starts)
+              Result.push_back(Each.Name.Task);
+            return Result;
+          }) == 5000);
+  Setup.Subject.cancel(Wide.Id);
+  REQUIRE(Send([](const auto &Sync) {
+            std::vector<TaskName> Result;
+            for (const auto &Each : Sync.Stops)
+              Result.push_back(Each.Task);
+            return Result;
+          }) == 5000);
+}
+
 // Guards against occurrences that wait for good behind others that find no VM.
 TEST_CASE("each occurrence is tried although earlier ones find no VM") {
   Fixture Setup(2, 40000);
