Sort the runs that may be preempted once, not for each waiting job

Cause: each urgent job that found no VM collected and sorted the runs of every VM, so that a pass cost jobs times runs.

Change: each VM keeps the sorted list until its runs change, with the sums that tell at once whether stopping all of them would make room. A run that is being stopped moves from one sum to the other. The choice is the same.

--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace daisyspool::scheduling {
@@ -70,6 +71,24 @@
   CommitNumber Commit;
 };
 
+/// Whether a task of priority \p Priority may preempt the run.
+constexpr bool isPreemptible(const Assignment &Run, int Priority) {
+  return Run.Priority > Priority && !Run.LongRunning;
+}
+
+/// The runs of a VM that tasks of one priority may preempt.
+struct PreemptibleRuns {
+  int Priority = 0;
+  /// Cheapest first.
+  std::vector<std::pair<TaskName, const Assignment *>> ByCost;
+  /// All runs before this one are being stopped.
+  std::size_t FirstRunning = 0;
+  /// The resources of the runs in ByCost that are not being stopped.
+  Resources Held;
+  /// The resources of all runs of the VM that are being stopped.
+  Resources StoppingHeld;
+};
+
 /// The largest ratio of tail to target among the tasks of one serving image on
 /// a VM.
 struct ServiceTail {
@@ -110,6 +129,9 @@
   /// best-effort task. Cleared when the runs or their loads change.
   std::optional<std::vector<ServiceTail>> CurrentTails;
   std::map<workload::ImageId, double> ExpectedTails;
+  /// Cached; cleared when the runs change. Load pattern: hundreds of urgent
+  /// jobs wait beside thousands of small runs.
+  std::optional<PreemptibleRuns> Preemptible;
   /// Incremented by each failed or stalled run, halved by each successful one.
   double FailureScore = 0;
   /// Until then the VM gets at most one task at a time.
@@ -123,6 +145,8 @@
   }
   /// Adds an assignment and counts its resources as held.
   void assign(const TaskName &Task, const Assignment &Run);
+  /// Marks an assignment of this VM as being stopped.
+  void markStopping(Assignment &Run);
   /// Removes an assignment and frees its resources.
   void release(const TaskName &Task);
   /// Advances EndsRecorded over the ends whose transaction is durable, up to
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -136,7 +136,7 @@
     requeueTask(Vm, Name, {}, Cause);
     return;
   }
-  Found->second.Stopping = true;
+  Vm.markStopping(Found->second);
 }
 
 void Scheduler::recordStart(Assignment &Run, JobProgress &Job) {
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -96,20 +96,36 @@
 
 /// Runs that may be preempted, cheapest first: lowest priority, then those that
 /// resume from a checkpoint, then the shortest-running.
-std::vector<std::pair<TaskName, const Assignment *>>
-victimsByCost(const VmState &Vm, int Priority) {
-  std::vector<std::pair<TaskName, const Assignment *>> Result;
-  for (const auto &[Task, Run] : Vm.Assigned)
-    if (Run.Priority > Priority && !Run.Stopping && !Run.LongRunning)
-      Result.emplace_back(Task, &Run);
-  std::stable_sort(
-      Result.begin(), Result.end(), [](const auto &A, const auto &B) {
-        auto Key = [](const Assignment &Run) {
-          return std::tuple(-Run.Priority, !Run.Checkpoints,
-                            -Run.AssignedAt.time_since_epoch().count());
-        };
-        return Key(*A.second) < Key(*B.second);
-      });
+PreemptibleRuns preemptibleRuns(const VmState &Vm, int Priority) {
+  PreemptibleRuns Result;
+  Result.Priority = Priority;
+  for (const auto &[Task, Run] : Vm.Assigned) {
+    if (Run.Stopping) {
+      Result.StoppingHeld = Result.StoppingHeld + Run.Held;
+    } else if (isPreemptible(Run, Priority)) {
+      Result.Held = Result.Held + Run.Held;
+      Result.ByCost.emplace_back(Task, &Run);
+    }
+  }
+  std::stable_sort(Result.ByCost.begin(), Result.ByCost.end(),
+                   [](const auto &A, const auto &B) {
+                     auto Key = [](const Assignment &Run) {
+                       return std::tuple(
+                           -Run.Priority, !Run.Checkpoints,
+                           -Run.AssignedAt.time_since_epoch().count());
+                     };
+                     return Key(*A.second) < Key(*B.second);
+                   });
+  return Result;
+}
+
+PreemptibleRuns &cachedPreemptibleRuns(VmState &Vm, int Priority) {
+  if (!Vm.Preemptible || Vm.Preemptible->Priority != Priority)
+    Vm.Preemptible = preemptibleRuns(Vm, Priority);
+  PreemptibleRuns &Result = *Vm.Preemptible;
+  while (Result.FirstRunning < Result.ByCost.size() &&
+         Result.ByCost[Result.FirstRunning].second->Stopping)
+    ++Result.FirstRunning;
   return Result;
 }
 
@@ -195,14 +211,17 @@
     if (auto Claim = PreemptionClaims.find(Vm->Id);
         Claim != PreemptionClaims.end())
       Free = Free - Claim->second;
-    for (const auto &[Task, Run] : Vm->Assigned)
-      if (Run.Stopping)
-        Free = Free + Run.Held;
+    const PreemptibleRuns &Runs = cachedPreemptibleRuns(*Vm, Priority);
+    Free = Free + Runs.StoppingHeld;
+    if (!Needed.fitsIn(Free + Runs.Held))
+      continue;
 
     std::vector<TaskName> Victims;
-    for (const auto &[Task, Run] : victimsByCost(*Vm, Priority)) {
-      if (Needed.fitsIn(Free))
-        break;
+    for (std::size_t I = Runs.FirstRunning;
+         I < Runs.ByCost.size() && !Needed.fitsIn(Free); ++I) {
+      const auto &[Task, Run] = Runs.ByCost[I];
+      if (Run->Stopping)
+        continue;
       Free = Free + Run->Held;
       Victims.push_back(Task);
     }
--- a/tests/scheduling/SchedulerTest.cpp
+++ b/tests/scheduling/SchedulerTest.cpp
@@ -895,6 +895,29 @@
   }
 }
 
+// Guards against one job of low priority whose thousands of runs make each
+// urgent job that waits expensive: all of them are considered for preemption.
+TEST_CASE("the cost of preemption does not grow with jobs times runs") {
+  // With a task that a few stopped runs make room for, and one that none can.
+  for (std::int64_t Cpu : {1000, 20000}) {
+    INFO(Cpu);
+    Fixture Setup(3, 16000);
+    workload::JobRecord Wide = job("wide", 5000, 9, 1);
+    Wide.Definition.Steps[0].Needs.Memory = MebiBytes(1);
+    Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+    Setup.scheduleAndCommit();
+    REQUIRE(Setup.runCount("wide") == 5000);
+    Setup.startAssignedRuns();
+    Setup.sendReplies();
+    for (int I = 0; I < 2000; ++I)
+      Setup.Subject.addJob(job("urgent" + std::to_string(I), 2, Cpu), Millis(0),
+                           Setup.Now);
+    auto Taken =
+        testing::cpuTime([&] { Setup.Subject.schedule(Setup.Now, Wall); });
+    REQUIRE(Taken < testing::MaxStepTime);
+  }
+}
+
 // Guards against a takeover that no entry survives: the next leader restores
 // all occurrences of the largest job in one step of its event loop.
 TEST_CASE("no step of a takeover takes longer than a leader may be silent") {
