Queue the orders for a worker until others are answered

Cause: an agent has 16 connections for orders. One that found none was treated like an unanswered one and repeated after 60 or 100 ms, some 270 a second; after 1.5 s it was ruled out by a stop, which needed a connection, too.

Change: at most 12 starts and stops wait for an answer; the others are queued in their order and sent as answers arrive, stops before starts. Pace calls keep the other connections.

--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -54,6 +54,9 @@
     Millis MaxLease{6000};
     /// How long a stopped run may take to end.
     Millis StopTimeout{400};
+    /// How many starts and stops may wait for the worker's answer at once.
+    /// Below the number of connections to the worker, as paces need some, too.
+    std::size_t MaxOrdersInFlight = 12;
   };
   using ReplyCallback = std::function<void(SyncReply)>;
 
@@ -123,13 +126,22 @@
   bool acceptsStarts(const SyncRequest &Request);
   void addStart(const StartOrder &Start, TimePoint ValidUntil);
   void addStop(const RunName &Name);
+  /// Sends the stop or the start that the order is due for.
+  void attemptOrder(const RunName &Name);
   void attemptStart(const RunName &Name);
   void onStartOutcome(const RunName &Name, const StartOutcome &Outcome);
+  void settleStart(const RunName &Name, const StartOutcome &Outcome);
   /// Refuses a start, after a stop if the worker may still carry it out.
   void giveUpStart(const RunName &Name, RefusalReason Reason);
   void attemptStop(const RunName &Name);
   void onStopOutcome(const RunName &Name, const OrderOutcome &Outcome);
+  void settleStop(const RunName &Name, const OrderOutcome &Outcome);
   void retryLater(const RunName &Name, Millis Delay);
+  /// Whether an order may be sent now; if not, it is queued until others have
+  /// been answered.
+  bool reserveOrder(const RunName &Name, Order &Next);
+  /// Frees the place of an answered order and sends queued ones, stops first.
+  void releaseOrder();
   void refuse(const RunName &Name, RefusalReason Reason);
   void forgetOldRefusals();
   void raiseToken();
@@ -206,6 +218,10 @@
   EndNumber EndsSeen;
   EndNumber EndsRecorded;
   std::map<RunName, std::shared_ptr<Order>> Orders;
+  std::size_t OrdersInFlight = 0;
+  bool SendingQueued = false;
+  std::deque<RunName> QueuedStarts;
+  std::deque<RunName> QueuedStops;
   std::map<RunName, RunTraits> TraitsByRun;
   std::map<RunName, ProgressSample> Progress;
   std::vector<RefusedRun> Refused;
--- a/src/runner/AgentOrder.h
+++ b/src/runner/AgentOrder.h
@@ -35,6 +35,8 @@
   bool StopWanted = false;
   bool StopAccepted = false;
   bool InFlight = false;
+  /// Waits for other orders to be answered.
+  bool Queued = false;
   std::unique_ptr<Timer> RetryTimer;
 };
 
--- a/src/runner/AgentOrders.cpp
+++ b/src/runner/AgentOrders.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace daisyspool::runner {
 
@@ -101,7 +102,8 @@
   if (!LeaseEnd || Overdue || Leaving)
     return giveUpStart(Name,
                        Leaving ? RefusalReason::Leaving : RefusalReason::Late);
-  Start.InFlight = true;
+  if (!reserveOrder(Name, Start))
+    return;
   Port.start(
       Token, workerId(),
       {Name, Start.Definition.Spec, Start.Definition.Checkpoint, *LeaseEnd},
@@ -112,6 +114,12 @@
 
 void AgentSession::onStartOutcome(const RunName &Name,
                                   const StartOutcome &Outcome) {
+  settleStart(Name, Outcome);
+  releaseOrder();
+}
+
+void AgentSession::settleStart(const RunName &Name,
+                               const StartOutcome &Outcome) {
   auto Found = Orders.find(Name);
   if (Found == Orders.end())
     return;
@@ -176,7 +184,8 @@
   auto Found = Orders.find(Name);
   if (Found == Orders.end() || Found->second->InFlight || Closed)
     return;
-  Found->second->InFlight = true;
+  if (!reserveOrder(Name, *Found->second))
+    return;
   Port.stop(Token, workerId(), Name, [this, Name](const OrderOutcome &Outcome) {
     onStopOutcome(Name, Outcome);
   });
@@ -184,6 +193,12 @@
 
 void AgentSession::onStopOutcome(const RunName &Name,
                                  const OrderOutcome &Outcome) {
+  settleStop(Name, Outcome);
+  releaseOrder();
+}
+
+void AgentSession::settleStop(const RunName &Name,
+                              const OrderOutcome &Outcome) {
   auto Found = Orders.find(Name);
   if (Found == Orders.end())
     return;
@@ -205,21 +220,54 @@
       Outcome);
 }
 
+/// Load pattern: hundreds of orders for one worker. Orders without a connection
+/// would fail and be repeated at random, beside those of other jobs.
+bool AgentSession::reserveOrder(const RunName &Name, Order &Next) {
+  if (OrdersInFlight < Config.MaxOrdersInFlight) {
+    ++OrdersInFlight;
+    Next.InFlight = true;
+    return true;
+  }
+  if (!std::exchange(Next.Queued, true))
+    (Next.StopWanted || !Next.HasStart ? QueuedStops : QueuedStarts)
+        .push_back(Name);
+  return false;
+}
+
+void AgentSession::releaseOrder() {
+  --OrdersInFlight;
+  // An order without a connection is answered before the call returns.
+  if (std::exchange(SendingQueued, true))
+    return;
+  while (OrdersInFlight < Config.MaxOrdersInFlight &&
+         !(QueuedStops.empty() && QueuedStarts.empty())) {
+    auto &Queue = QueuedStops.empty() ? QueuedStarts : QueuedStops;
+    RunName Next = std::move(Queue.front());
+    Queue.pop_front();
+    attemptOrder(Next);
+  }
+  SendingQueued = false;
+}
+
+void AgentSession::attemptOrder(const RunName &Name) {
+  auto Found = Orders.find(Name);
+  if (Found == Orders.end())
+    return;
+  Order &Next = *Found->second;
+  Next.Queued = false;
+  if (Next.StopWanted || !Next.HasStart)
+    attemptStop(Name);
+  else
+    attemptStart(Name);
+}
+
 void AgentSession::retryLater(const RunName &Name, Millis Delay) {
   auto Found = Orders.find(Name);
   if (Found == Orders.end())
     return;
 
   auto Order = Found->second;
-  Order->RetryTimer->start(Delay, [this, Name] {
-    auto Current = Orders.find(Name);
-    if (Current == Orders.end())
-      return;
-    if (Current->second->StopWanted || !Current->second->HasStart)
-      attemptStop(Name);
-    else
-      attemptStart(Name);
-  });
+  Order->RetryTimer->start(Delay, [this, Name] { attemptOrder(Name); });
 }
 
 void AgentSession::refuse(const RunName &Name, RefusalReason Reason) {
--- a/tests/runner/AgentFixture.h
+++ b/tests/runner/AgentFixture.h
@@ -22,6 +22,8 @@
   TargetId Id{"w"};
   StartOutcome StartAnswer = Started{};
   WorkerListing Listing;
+  /// Orders beyond this number at once are not sent.
+  std::size_t Connections = 100'000;
   std::size_t Starts = 0;
   std::size_t Stops = 0;
   std::size_t Holds = 0;
@@ -30,13 +32,25 @@
 
   void start(FencingToken, const TargetId &, const WorkerStart &,
              std::function<void(StartOutcome)> Done) override {
+    if (OrdersInFlight >= Connections)
+      return Loop.post([Done] { Done(NoWorkerAnswer{"not sent"}); });
     ++Starts;
-    Loop.after(Millis(20), [this, Done] { Done(StartAnswer); });
+    ++OrdersInFlight;
+    Loop.after(Millis(20), [this, Done] {
+      --OrdersInFlight;
+      Done(StartAnswer);
+    });
   }
   void stop(FencingToken, const TargetId &, const RunName &,
             std::function<void(OrderOutcome)> Done) override {
+    if (OrdersInFlight >= Connections)
+      return Loop.post([Done] { Done(NoWorkerAnswer{"not sent"}); });
     ++Stops;
-    Loop.after(Millis(1), [Done] { Done(runner::Done{}); });
+    ++OrdersInFlight;
+    Loop.after(Millis(1), [this, Done] {
+      --OrdersInFlight;
+      Done(runner::Done{});
+    });
   }
   void hold(FencingToken, const TargetId &Expected, const HoldRequest &,
             std::function<void(HoldOutcome)> Done) override {
@@ -57,6 +71,7 @@
 
 private:
   VirtualLoop &Loop;
+  std::size_t OrdersInFlight = 0;
 };
 
 /// One agent session beside a ScriptedWorker.
--- a/tests/runner/AgentSessionTest.cpp
+++ b/tests/runner/AgentSessionTest.cpp
@@ -235,8 +235,8 @@
   for (std::uint32_t I = 0; I < Count; ++I)
     Starts[I].Name.Task.Index = I;
   Setup.sync(Starts, {});
-  Setup.Loop.runFor(Millis(100));
-  Setup.sync({}, {});
+  // No sync acknowledges a refusal.
+  Setup.follow(Millis(3000));
   REQUIRE(Setup.Newest.Refused.size() == Count);
 
   Setup.Worker.StartAnswer = Started{};
@@ -245,3 +245,44 @@
   Setup.Loop.runFor(Millis(100));
   REQUIRE(Setup.Worker.Starts == Before);
 }
+
+// Guards against orders that find no connection to the worker: they are taken
+// for unanswered, repeated at random and ruled out by stops, and the orders of
+// other jobs are late beside them.
+TEST_CASE("hundreds of orders are sent as the worker answers") {
+  constexpr std::uint32_t Count = 600;
+  Fixture Setup;
+  Setup.Worker.Connections = 16;
+  Setup.follow(Millis(7000));
+  std::vector<StartOrder> Starts(Count, Setup.order());
+  std::vector<RunName> Stops;
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    Starts[I].Name.Task.Index = I;
+    Stops.push_back(Starts[I].Name);
+  }
+  Setup.sync(Starts, {});
+  Setup.follow(Millis(2000));
+  REQUIRE(Setup.Worker.Starts == Count);
+  REQUIRE(Setup.Worker.Stops == 0);
+  REQUIRE(Setup.Newest.Refused.empty());
+
+  Setup.sync({}, Stops);
+  Setup.follow(Millis(300));
+  REQUIRE(Setup.Worker.Stops == Count);
+}
+
+// Guards against a stop that waits behind all starts of a large job.
+TEST_CASE("a stop is sent before the starts that wait") {
+  Fixture Setup;
+  Setup.follow(Millis(7000));
+  std::vector<StartOrder> Starts(100, Setup.order());
+  for (std::uint32_t I = 0; I < Starts.size(); ++I)
+    Starts[I].Name.Task.Index = I + 1;
+  Setup.Worker.Listing.Running = {{Setup.Run, "", 50, 0}};
+  Setup.follow(Millis(500));
+  Setup.sync(Starts, {});
+  Setup.sync({}, {Setup.Run});
+  Setup.Loop.runFor(Millis(30));
+  REQUIRE(Setup.Worker.Stops == 1);
+  REQUIRE(Setup.Worker.Starts < 50);
+}
