--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -354,7 +354,15 @@
   std::set<RunName> RunningBefore = std::exchange(RunningNames, {});
   for (const RunningTask &Task : Running)
     RunningNames.insert(Task.Name);
-  EndsTruncated = Listing.EndsTruncated;
+  bool WasTruncated = std::exchange(EndsTruncated, Listing.EndsTruncated);
+  if (WasTruncated != EndsTruncated)
+    LogEvent(LogLevel::Warning,
+             EndsTruncated ? "ends_truncated" : "ends_complete")
+        .with("worker", workerId())
+        .with("listed", static_cast<std::int64_t>(Listing.Ended.size()))
+        .with("recorded_up_to", EndsRecorded)
+        .with("running", static_cast<std::int64_t>(Running.size()))
+        .with("unsettled", static_cast<std::int64_t>(Orders.size()));
   Ended.clear();
   EndedNames.clear();
   for (const EndedTask &End : Listing.Ended) {
