--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -130,11 +130,13 @@
   void attemptOrder(const RunName &Name);
   void attemptStart(const RunName &Name);
   void onStartOutcome(const RunName &Name, const StartOutcome &Outcome);
+  /// Applies the worker's answer to a start, if its order is still open.
   void settleStart(const RunName &Name, const StartOutcome &Outcome);
   /// Refuses a start, after a stop if the worker may still carry it out.
   void giveUpStart(const RunName &Name, RefusalReason Reason);
   void attemptStop(const RunName &Name);
   void onStopOutcome(const RunName &Name, const OrderOutcome &Outcome);
+  /// Applies the worker's answer to a stop, if its order is still open.
   void settleStop(const RunName &Name, const OrderOutcome &Outcome);
   void retryLater(const RunName &Name, Millis Delay);
   /// Whether an order may be sent now; if not, it is queued until others have
@@ -143,6 +145,7 @@
   /// Frees the place of an answered order and sends queued ones, stops first.
   void releaseOrder();
   void refuse(const RunName &Name, RefusalReason Reason);
+  /// Limits the refusals that are remembered after the leader has seen them.
   void forgetOldRefusals();
   void raiseToken();
   void sendHold();
@@ -168,6 +171,7 @@
   bool hasEnded(const RunName &Name) const {
     return EndedNames.count(Name) != 0;
   }
+  /// Removes the ends that the leader has acknowledged.
   void removeRecordedEnds();
   void reportChange();
   void replyToSync();
@@ -218,13 +222,17 @@
   EndNumber EndsSeen;
   EndNumber EndsRecorded;
   std::map<RunName, std::shared_ptr<Order>> Orders;
+  /// Starts and stops that wait for the worker's answer.
   std::size_t OrdersInFlight = 0;
-  bool SendingQueued = false;
+  /// Orders that wait for an answer to another, oldest first.
   std::deque<RunName> QueuedStarts;
   std::deque<RunName> QueuedStops;
+  /// releaseOrder() is sending queued orders.
+  bool SendingQueued = false;
   std::map<RunName, RunTraits> TraitsByRun;
   std::map<RunName, ProgressSample> Progress;
   std::vector<RefusedRun> Refused;
+  /// The names in Refused.
   std::set<RunName> RefusedNames;
   std::uint64_t LastRefusal = 0;
   /// The newest refusal that the leader has seen.
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -176,11 +176,13 @@
   /// are taken; empty for the row with the status.
   static std::vector<std::optional<std::uint32_t>>
   changedRows(const JobProgress &Job);
+  /// Encodes the current state of one of the job's rows.
   Change encodeRow(const JobProgress &Job,
                    std::optional<std::uint32_t> FirstTask) const;
-  enum class TakenRows : std::uint8_t { None, Some, All };
   /// Whether the row with the task waits to be written.
   bool isUnsaved(const TaskName &Task) const;
+  /// How many of a job's changed rows a transaction takes.
+  enum class TakenRows : std::uint8_t { None, Some, All };
   /// Takes the changes of a job as far as \p Room allows; a part of them only
   /// as the first of a transaction.
   TakenRows takeJob(JobProgress &Job, Budget &Room,
@@ -219,6 +221,7 @@
   void expireGrants(TimePoint Now);
   /// Stops runs that do not end soon or can resume elsewhere.
   void stopRunsOfDrainingWorker(VmState &Vm);
+  /// Adds due occurrences of all jobs, up to the limit of a pass.
   void addDueOccurrences(WallMillis Wall);
   /// Adds the due occurrences of a job while \p TasksLeft is not used up.
   /// Returns whether all were added.
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -254,8 +254,7 @@
 /// once. Each pass adds a limited number, in turn with those of other jobs.
 void Scheduler::addDueOccurrences(WallMillis Wall) {
   std::uint64_t TasksLeft = MaxDueTasks;
-  auto First = UnfinishedJobs.upper_bound(DeferredOccurrencesOf);
-  auto Next = First;
+  auto Next = UnfinishedJobs.upper_bound(DeferredOccurrencesOf);
   for (std::size_t I = 0; I < UnfinishedJobs.size(); ++I, ++Next) {
     if (Next == UnfinishedJobs.end())
       Next = UnfinishedJobs.begin();
