Acknowledge a hundred recorded ends at once

Cause: an acknowledgement travelled with the next sync, which waits up to 0.5 s for orders or reports.

Change: a sync is sent once a hundred recorded ends are not acknowledged.

--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -144,7 +144,8 @@
   void holdStarts(bool Hold) { StartsHeld = Hold; }
   bool areStartsHeld() const { return StartsHeld; }
 
-  /// Whether the next sync to \p Vm would contain start or stop orders.
+  /// Whether the next sync to \p Vm would contain start or stop orders, or
+  /// acknowledge many ends.
   bool hasOrders(const VmId &Vm) const;
 
   /// Creates the next sync for the agent of \p Vm.
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -114,6 +114,8 @@
   WorkerLife EndsLife;
   EndNumber EndsApplied;
   EndNumber EndsRecorded;
+  /// The newest end that a sync has acknowledged.
+  EndNumber EndsAcknowledged;
   /// The ends after EndsRecorded that were applied, in order.
   std::deque<AppliedEnd> UnrecordedEnds;
   std::uint64_t RefusalsApplied = 0;
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -21,6 +21,10 @@
   return {};
 }
 
+/// So many recorded ends are acknowledged at once; fewer wait for the next
+/// sync. Load pattern: hundreds of short tasks on one worker, which has no room
+/// to list newer ends.
+constexpr std::uint64_t ManyEnds = 100;
 /// Upper bound for the orders of one sync: a quarter of what an agent's server
 /// takes, and a fraction of a second on a link of 20 Mbit/s.
 constexpr std::size_t MaxOrderBytes = 1024 * 1024;
@@ -99,7 +103,7 @@
     return;
   if (Vm.EndsLife != Reply.Worker->Life) {
     Vm.EndsLife = Reply.Worker->Life;
-    Vm.EndsApplied = Vm.EndsRecorded = EndNumber{};
+    Vm.EndsApplied = Vm.EndsRecorded = Vm.EndsAcknowledged = EndNumber{};
     Vm.UnrecordedEnds.clear();
   }
   for (const runner::EndedTask &End : Reply.Ended)
@@ -327,6 +331,8 @@
     return false;
 
   const VmState &Vm = Found->second;
+  if (Vm.EndsRecorded.value() - Vm.EndsAcknowledged.value() >= ManyEnds)
+    return true;
   return std::any_of(
       Vm.Assigned.begin(), Vm.Assigned.end(), [&](const auto &Each) {
         const Assignment &Run = Each.second;
@@ -344,7 +350,7 @@
   Sync.StampedBy = Vm.AgentIncarnation;
   Sync.Grant = Config.Grant;
   Sync.EndsLife = Vm.EndsLife;
-  Sync.EndsRecorded = Vm.EndsRecorded;
+  Sync.EndsRecorded = Vm.EndsAcknowledged = Vm.EndsRecorded;
   Sync.RefusalsSeen = Vm.RefusalsApplied;
   Sync.Wait = Config.SyncWait;
   // The stamp was made before the last reply, so the agent's grant ends before
--- a/tests/scheduling/SchedulerLoadTest.cpp
+++ b/tests/scheduling/SchedulerLoadTest.cpp
@@ -71,6 +71,26 @@
   }
 }
 
+// Guards against a worker with a full list of ends whose acknowledgement waits
+// until the agent has something else to report.
+TEST_CASE("many recorded ends are acknowledged at once") {
+  Fixture Setup(1, 16000);
+  workload::JobRecord Wide = job("wide", 100, 100);
+  Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  Setup.startAssignedRuns();
+  VmId Vm("vm0");
+  for (std::uint32_t I = 0; I < 100; ++I) {
+    REQUIRE_FALSE(Setup.Subject.hasOrders(Vm));
+    Setup.endRun("vm0", {Wide.Id, 0, 0, I}, 1, runner::EndCause::Done);
+    Setup.scheduleAndCommit();
+  }
+  REQUIRE(Setup.Subject.hasOrders(Vm));
+  REQUIRE(Setup.Subject.nextSync(Vm, Epoch(1), Setup.Now).EndsRecorded ==
+          runner::EndNumber(100));
+  REQUIRE_FALSE(Setup.Subject.hasOrders(Vm));
+}
+
 // Guards against the acknowledgement of an end whose transaction the store has
 // rejected: the next leader would start the task again.
 TEST_CASE("an end in a rejected transaction is not acknowledged") {
