Do not let one row of the intake hold up the queue behind it

Found by reading. It queued the rows of the intake and said that a row that cannot be handled is skipped for whatever reason; only a job's row was. After another exception the queue stayed filled: the watch delivered the rows again, which were then only appended, and starts are held back while rows are queued. In a later step of the queue the exception would have ended the process.

One such exception: a job is cancelled while its parts are being restored, and no agent has registered the VM of one of its runs. endJob() looked the VM up with at(). Its runs are not counted on a VM yet, and restoreRuns() marks them as being stopped.

Change: the loop over the queue catches and logs (rows_not_handled); endJob() passes over a VM that is not known.

The catch in the loop has no test of its own.

--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -241,7 +241,15 @@
   for (std::size_t I = 0; I < MaxRowsPerStep && !Queue.empty(); ++I) {
     rows::StoredRow Next = std::move(Queue.front());
     Queue.pop_front();
-    applyIntakeRow(Next);
+    // One row must neither end the process nor hold up the rows behind it.
+    try {
+      applyIntakeRow(Next);
+    } catch (const std::exception &Problem) {
+      LogEvent(LogLevel::Error, "rows_not_handled")
+          .with("table", Next.Name.Table)
+          .with("first_key", Next.Name.Key)
+          .with("detail", Problem.what());
+    }
   }
   if (!Queue.empty()) {
     Leadership->IntakeTimer->start(Millis(0), [this] { applyQueuedIntake(); });
@@ -279,8 +287,7 @@
   try {
     workload::JobRecord Job = workload::decodeJob(Row.Value);
     Leadership->JobScheduler.addJob(Job, ageOf(Job, Time), Time.now());
-  } catch (const std::exception &Problem) {
-    // One row must not end the process or hide the rows behind it.
+  } catch (const ProtocolError &Problem) {
     LogEvent(LogLevel::Error, "job_unreadable")
         .with("key", Row.Name.Key)
         .with("detail", Problem.what());
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -108,8 +108,11 @@
   LogEvent(LogLevel::Info, "job_ended")
       .with("job", Job.Record.Id)
       .with("status", static_cast<std::int64_t>(Status));
+  // While the job is being restored, its runs are not counted on a VM yet;
+  // restoreRuns() marks them as being stopped.
   for (const TaskName &Name : assignedTasks(Job))
-    stopRun(Vms.at(Job.findTask(Name)->Vm), Name, "job_ended");
+    if (auto Vm = Vms.find(Job.findTask(Name)->Vm); Vm != Vms.end())
+      stopRun(Vm->second, Name, "job_ended");
 }
 
 void Scheduler::stopRun(VmState &Vm, const TaskName &Name, const char *Cause) {
--- a/tests/scheduling/SchedulerLoadTest.cpp
+++ b/tests/scheduling/SchedulerLoadTest.cpp
@@ -320,6 +320,33 @@
           }) == 5000);
 }
 
+// Guards against a cancellation that the leader cannot apply while it restores
+// the job: its runs are not counted on their VMs yet.
+TEST_CASE("a job is cancelled while its parts are being restored") {
+  workload::JobRecord Wide = job("wide", 1000, 5);
+  Wide.Definition.Steps[0].Needs.Memory = MebiBytes(8);
+  Fixture Setup(2, 16000);
+  Rows Stored;
+  Setup.Subject.addJob(Wide, Millis(0), Setup.Now);
+  Setup.scheduleAll();
+  commitAll(Setup, Stored);
+
+  Fixture Next(0);
+  Next.Subject.addJob(Wide, Millis(0), Next.Now);
+  for (const auto &[Key, Value] : Stored)
+    if (Key.second)
+      Next.Subject.restorePart(Key.first, *Key.second, Value);
+    else
+      Next.Subject.restore(Key.first, Value, Next.Now);
+  REQUIRE_NOTHROW(Next.Subject.cancel(Wide.Id));
+  REQUIRE_FALSE(Next.Subject.finishRestoring(Next.Now));
+  REQUIRE(Next.Subject.job(Wide.Id)->Status == JobStatus::Cancelled);
+  for (const char *Vm : {"vm0", "vm1"})
+    if (const VmState *Known = Next.Subject.vm(VmId(Vm)))
+      for (const auto &[Task, Run] : Known->Assigned)
+        REQUIRE(Run.Stopping);
+}
+
 // Guards against occurrences that wait for good behind others that find no VM.
 TEST_CASE("each occurrence is tried although earlier ones find no VM") {
   Fixture Setup(2, 40000);
