Start nothing in evacuated failure domains

Cause: nothing read the operator's rows op/evacuate/ZONE, so tasks went on starting in a domain for as long as it was evacuated.

Change: each entry follows the rows; platform/EvacuationOrders translates them to failure domains. The leader places nothing there, takes back what it has not sent, and stops what it has sent and no worker has listed; a lasting task that the agent still has an order for is left to the agent's limit of 1.5 s. Running tasks go on. With [bounds] evacuation_ms it sends no start while its view of the rows is older than the bound less 2 s. TableWatch reports rows as removed that are gone when the table is read again. The soak evacuates domains at random.

--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -41,6 +41,12 @@
     Millis TakeoverAfter{1600};
     rows::StoreLimits Limits;
     scheduling::Scheduler::Options Scheduling;
+    /// How long after an evacuation was ordered tasks may still be started
+    /// there; 0 if nobody relies on one.
+    Millis EvacuationBound{0};
+    /// The time up to which all evacuations are known that the operator has
+    /// ordered. Required if there is a bound.
+    std::function<TimePoint()> EvacuationsAsOf;
   };
 
   LeaderDuty(EventLoop &Loop, const Clock &Time, rows::RowStore &Store,
@@ -52,6 +58,18 @@
   /// Applies the operator's configuration.
   void configure(const workload::FleetConfig &Next);
 
+  /// Starts nothing in \p Domains, which replace the earlier ones.
+  void evacuate(const scheduling::EvacuatedDomains &Domains);
+
+  struct EvacuationStatus {
+    std::size_t Domains = 0;
+    /// While this process leads.
+    std::size_t Vms = 0;
+    /// Starts that this process has taken back since it began.
+    std::uint64_t StartsWithdrawn = 0;
+  };
+  EvacuationStatus evacuationStatus() const;
+
   /// The newest leader status that this process knows.
   const LeaderStatus &status() const { return Status; }
   bool isLeading() const { return OwnIdentity.has_value(); }
@@ -98,6 +116,9 @@
   void onCommitted(const Transaction &Committed, rows::RowVersion FenceVersion);
   void sendOrders();
   void updateStartHold();
+  /// Age of the operator's orders as known here; 0 without a bound.
+  Millis evacuationsAge() const;
+  std::size_t countWithdrawnStarts();
   void reportOverload();
   bool holdsLease() const;
   void stepDown(const char *Cause);
@@ -110,6 +131,8 @@
   ChannelFactory OpenChannel;
   Options Config;
   workload::FleetConfig Fleet;
+  scheduling::Evacuation Evacuations;
+  std::uint64_t StartsWithdrawn = 0;
   LeaderStatus Status;
   bool StatusKnown = false;
   TimePoint StatusChangedAt{};
--- a/include/daisyspool/rows/TableWatch.h
+++ b/include/daisyspool/rows/TableWatch.h
@@ -28,6 +28,9 @@
     /// How long one call waits for changes, and thereby how long changes are
     /// missed on a connection that has gone silent.
     Millis Wait{1000};
+    /// Deliver rows that were removed while the store's history was gone as
+    /// removed. The watch then remembers the names of all rows.
+    bool ReportRemovals = false;
   };
   using RowsCallback = std::function<void(std::vector<StoredRow>)>;
 
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -1,6 +1,7 @@
 #ifndef DAISYSPOOL_SCHEDULING_SCHEDULER_H
 #define DAISYSPOOL_SCHEDULING_SCHEDULER_H
 
+#include "daisyspool/scheduling/Evacuation.h"
 #include "daisyspool/scheduling/JobProgress.h"
 #include "daisyspool/scheduling/VmChoice.h"
 #include "daisyspool/scheduling/VmState.h"
@@ -97,6 +98,16 @@
   /// Applies the operator's configuration to all jobs of its queues.
   void configure(const workload::FleetConfig &Next);
 
+  /// Starts nothing in the failure domains \p Domains, which replace the
+  /// earlier ones. Takes back what has not started there; what runs goes on.
+  void evacuate(const EvacuatedDomains &Domains);
+
+  /// Number of VMs known to be in an evacuated domain.
+  std::size_t evacuatedVmCount() const;
+
+  /// Number of starts that evacuations took back since the last call.
+  std::size_t takeWithdrawnStarts();
+
   /// Adds a VM, or does nothing if it is known.
   void addVm(const VmId &Vm, TimePoint Now);
 
@@ -207,9 +218,9 @@
                      TimePoint Now);
   void reconcile(VmState &Vm, std::uint64_t Number,
                  const runner::SyncReply &Reply, TimePoint Now);
-  /// Whether the next sync carries the start order of \p Run, which is not
-  /// being stopped.
-  bool isStartDue(const Assignment &Run) const;
+  /// Whether the next sync to \p Vm carries the start order of \p Run, which is
+  /// not being stopped.
+  bool isStartDue(const VmState &Vm, const Assignment &Run) const;
   void updateListedRuns(VmState &Vm, const runner::SyncReply &Reply);
   void stopStalled(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
   void recordStart(Assignment &Run, JobProgress &Job);
@@ -220,6 +231,10 @@
                    const char *Cause);
   void stopRun(VmState &Vm, const TaskName &Name, const char *Cause);
   void expireGrants(TimePoint Now);
+  /// Stops what might still start on evacuated VMs.
+  void withdrawLateStarts();
+  /// Stops a run on an evacuated VM, and the rest of its gang.
+  void withdrawStart(VmState &Vm, const TaskName &Name);
   /// Stops runs that do not end soon or can resume elsewhere.
   void stopRunsOfDrainingWorker(VmState &Vm);
   /// Adds due occurrences of all jobs, up to the limit of a pass.
@@ -271,6 +286,8 @@
   /// Jobs that have not ended, so that ended jobs need not be scanned.
   std::map<JobId, JobProgress *> UnfinishedJobs;
   workload::FleetConfig Fleet;
+  EvacuatedDomains Evacuated;
+  std::size_t WithdrawnStarts = 0;
   /// Resources that are being freed on VMs for urgent tasks in this pass.
   std::map<VmId, Resources> PreemptionClaims;
   /// Processors of a request that found no VM in this pass, by service and
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -101,6 +101,10 @@
   VmId Id;
   std::optional<runner::WorkerReport> Worker;
   RackId Rack;
+  /// Of the newest worker; empty while none was ever seen.
+  std::optional<FailureDomainId> FailureDomain;
+  /// No task may be started here.
+  bool Evacuated = false;
   std::uint64_t AgentIncarnation = 0;
   std::uint64_t NewestStamp = 0;
   TimePoint LastReply{};
--- a/include/daisyspool/scheduling/scheduling.h
+++ b/include/daisyspool/scheduling/scheduling.h
@@ -5,12 +5,14 @@
 //   VmState.h      a VM, its worker and the runs that may be on it
 //   TailModel.h    interference of best-effort tasks with serving tasks
 //   VmChoice.h     selects a VM for a task, and runs to preempt
+//   Evacuation.h   failure domains that the operator has evacuated
 //   Scheduler.h    schedules all jobs on all VMs and creates agents' orders
 //
 // See Scheduler.h next.
 #ifndef DAISYSPOOL_SCHEDULING_SCHEDULING_H
 #define DAISYSPOOL_SCHEDULING_SCHEDULING_H
 
+#include "daisyspool/scheduling/Evacuation.h"
 #include "daisyspool/scheduling/JobProgress.h"
 #include "daisyspool/scheduling/Scheduler.h"
 #include "daisyspool/scheduling/VmChoice.h"
--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -33,6 +33,9 @@
   std::size_t StoreRowBytes = 65536;
   Millis MaxLease{6000};
   Millis StopTimeout{400};
+  /// How long after an evacuation was ordered tasks may still be started there;
+  /// 0 if the deployment states no such bound.
+  Millis EvacuationBound{0};
   /// The share of processors that this process may use.
   MilliCores Processors{1000};
   std::string LogLevel = "info";
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -4,6 +4,7 @@
 #define DAISYSPOOL_SOAK_SOAKRUN_H
 
 #include "LinkRoute.h"
+#include "SoakEvacuations.h"
 #include "SoakProcess.h"
 #include "SoakWorker.h"
 
@@ -54,6 +55,7 @@
       Each->start();
     Loop.after(StartupTime, [this] { submitJobs(0); });
     Loop.after(StartupTime, [this] { injectFault(); });
+    Loop.after(StartupTime, [this] { Evacuations.begin(); });
     Loop.after(StartupTime + Config.Traffic, [this] { endFaults(); });
     Loop.after(StartupTime + Config.Traffic + SettleTime,
                [this] { checkJobs(); });
@@ -167,6 +169,7 @@
     Workers.push_back(std::make_unique<SoakWorker>(
         Io, Loop, Random, Checks, "worker" + std::to_string(I), Announcements));
     Workers.back()->Tasks.KeepsId = Config.Seed % 2 == 0;
+    Workers.back()->Tasks.Domain = FailureDomainId(I % 2 == 0 ? "a" : "b");
     addProcess("agent" + std::to_string(I), "fleet-agent",
                "[listen]\nannouncements = " + http::toString(Announcements) +
                    "\nlinks = " + http::toString(Links) + "\nmetrics = " +
@@ -184,7 +187,8 @@
                    "\nreadiness = " + http::toString(freeEndpoint()) +
                    "\nlinks = " + http::toString(freeEndpoint()) +
                    "\nmetrics = " + http::toString(freeEndpoint()) + "\n" +
-                   storeSection());
+                   storeSection() + "evacuation_ms = " +
+                   std::to_string(SoakEvacuations::Bound.count()) + "\n");
   }
 
   http::Request request(const char *Method, const JobId &Job,
@@ -349,6 +353,7 @@
 
   void endFaults() {
     FaultsEnded = true;
+    Evacuations.close();
     Store.Rows.Down = Store.Rows.Silent = false;
     Store.Rows.LostAnswerShare = 0;
     for (const auto &Route : Routes) {
@@ -411,8 +416,8 @@
     }
     if (Accepted == 0)
       Failures.emplace_back("no job was accepted");
-    for (const std::string &Each : Checks.Violations)
-      Failures.push_back(Each);
+    for (const auto &Found : {Checks.Violations, Evacuations.Failures})
+      Failures.insert(Failures.end(), Found.begin(), Found.end());
     for (std::size_t I = 0; I < Processes.size(); ++I)
       if (Processes[I]->endedUnexpectedly())
         Failures.push_back("process " + std::to_string(I) + " ended by itself");
@@ -438,6 +443,7 @@
   std::vector<std::shared_ptr<LinkRoute>> Routes;
   std::map<std::string, std::string> LinkProxies;
   std::vector<std::unique_ptr<SoakWorker>> Workers;
+  SoakEvacuations Evacuations{Loop, Store.Rows, Workers, Config.Seed};
   std::vector<std::unique_ptr<SoakProcess>> Processes;
   std::vector<std::unique_ptr<http::Client>> EntryClients;
   std::vector<std::unique_ptr<Caller>> Callers;
--- a/soak/SoakWorker.h
+++ b/soak/SoakWorker.h
@@ -32,6 +32,8 @@
   http::Endpoint endpoint() const { return HttpServer.endpoint(); }
 
   VirtualWorker Tasks;
+  /// When runs started whose order was carried out at once.
+  std::vector<TimePoint> PromptStarts;
 
 private:
   static constexpr Millis AnnounceInterval{500};
@@ -85,7 +87,10 @@
     try {
       if (Received.Target == "/-/hold")
         return hold(json::parse(Received.Body), expectedId(Received), Answer);
+      std::size_t StartsBefore = Tasks.startsSince({});
       Answer->respond(execute(Received));
+      if (Tasks.startsSince({}) > StartsBefore)
+        PromptStarts.push_back(Loop.now());
     } catch (const json::exception &Problem) {
       Answer->respond(jsonResponse({{"detail", Problem.what()}}, 400));
     }
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -29,7 +29,7 @@
                        rows::RowStore &Store, ChannelFactory OpenChannel,
                        Options Config)
     : Loop(Loop), Time(Time), Store(Store), OpenChannel(std::move(OpenChannel)),
-      Config(std::move(Config)),
+      Config(std::move(Config)), Evacuations(this->Config.EvacuationBound),
       StatusWatch(Loop, Time, Store,
                   {intake::LeaderTable, {intake::LeaderPartition}, StatusWait},
                   [this](const std::vector<rows::StoredRow> &Rows) {
@@ -120,6 +120,7 @@
   // one, so one scheduling pass after it covers all events.
   if (!Leadership->Committing) {
     Leadership->JobScheduler.schedule(Time.now(), Time.wallNow());
+    countWithdrawnStarts();
     if (Leadership->JobScheduler.hasDeferredWork())
       scheduleWork();
   }
@@ -282,10 +283,13 @@
 /// not reach, would start tasks of jobs that were cancelled seconds ago.
 void LeaderDuty::updateStartHold() {
   Duration Age = Time.now() - Leadership->IntakeWatch->currentAsOf();
-  bool Hold = Age > MaxCancellationAge || !Leadership->IntakeQueue.empty();
+  Millis EvacuationsAge = evacuationsAge();
+  bool Hold = Age > MaxCancellationAge || !Leadership->IntakeQueue.empty() ||
+              Evacuations.areStartsHeld(EvacuationsAge);
   if (Leadership->JobScheduler.areStartsHeld() != Hold)
     LogEvent(LogLevel::Warning, Hold ? "starts_held" : "starts_resumed")
         .with("intake_age_ms", std::chrono::duration_cast<Millis>(Age).count())
+        .with("evacuations_age_ms", EvacuationsAge.count())
         .with("lag_ms", Lag.lag().count());
   Leadership->JobScheduler.holdStarts(Hold);
 }
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -209,6 +209,7 @@
   Leadership->LeaseStart = Attempt.StartedAt;
   Leadership->EarlierGrantsEnd = Attempt.EarlierGrantsEnd;
   Leadership->JobScheduler.configure(Fleet);
+  Leadership->JobScheduler.evacuate(Evacuations.domains());
   LogEvent(LogLevel::Info, "leader_began")
       .with("epoch", OwnFence.Leader.Term)
       .with("fence_version", FenceVersion);
--- a/src/rows/TableWatch.cpp
+++ b/src/rows/TableWatch.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <exception>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace daisyspool::rows {
@@ -72,6 +73,8 @@
 
     Version = *OldestPageVersion;
     CurrentAsOf = ReadStartedAt;
+    if (Config.ReportRemovals)
+      addMissedRemovals();
     deliver(std::exchange(ReadRows, {}));
     if (!Closed)
       follow();
@@ -103,12 +106,34 @@
     onCallSucceeded();
     Version = std::max(Version, Page->Version);
     CurrentAsOf = SentAt;
-    if (!Page->Rows.empty())
+    if (!Page->Rows.empty()) {
+      if (Config.ReportRemovals)
+        rememberNames(Page->Rows);
       deliver(Page->Rows);
+    }
     if (!Closed)
       follow();
   }
 
+  /// Adds the rows that were known and are no longer there to those that were
+  /// read.
+  void addMissedRemovals() {
+    std::set<RowName> Missing = std::exchange(KnownNames, {});
+    for (const StoredRow &Row : ReadRows)
+      Missing.erase(Row.Name);
+    rememberNames(ReadRows);
+    for (const RowName &Name : Missing)
+      ReadRows.push_back({Name, {}, Version, true});
+  }
+
+  void rememberNames(const std::vector<StoredRow> &Rows) {
+    for (const StoredRow &Row : Rows)
+      if (Row.Removed)
+        KnownNames.erase(Row.Name);
+      else
+        KnownNames.insert(Row.Name);
+  }
+
   /// Neither ends the watch nor loses the other rows if the callback throws for
   /// one: they are then delivered singly.
   void deliver(const std::vector<StoredRow> &Rows) {
@@ -162,6 +187,9 @@
   RowsCallback OnRows;
   TimePoint ReadStartedAt{};
   std::vector<StoredRow> ReadRows;
+  /// With ReportRemovals, the names of all rows that were delivered and not
+  /// removed since.
+  std::set<RowName> KnownNames;
   std::optional<RowVersion> OldestPageVersion;
   std::size_t UnreadPartitions = 0;
   RowVersion Version;
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -92,6 +92,7 @@
     return;
 
   Entry->second.Id = Vm;
+  Entry->second.Evacuated = isEvacuated(Entry->second, Evacuated);
   Entry->second.LatestGrantExpiry = Now;
   VmList.push_back(&Entry->second);
 }
@@ -292,6 +293,7 @@
   expireGrants(Now);
   for (VmState *Vm : VmList)
     stopRunsOfDrainingWorker(*Vm);
+  withdrawLateStarts();
   WorkDeferred = false;
   PlacementsLeft = MaxPlacements;
   addDueOccurrences(Wall);
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -95,6 +95,8 @@
         .with("draining", Reply.Worker->Draining ? "yes" : "no");
   Vm.Worker = Reply.Worker;
   Vm.Rack = rackOf(*Vm.Worker);
+  Vm.FailureDomain = Vm.Worker->FailureDomain;
+  Vm.Evacuated = isEvacuated(Vm, Evacuated);
 }
 
 void Scheduler::applyEnds(VmState &Vm, const runner::SyncReply &Reply,
@@ -320,9 +322,9 @@
   }
 }
 
-bool Scheduler::isStartDue(const Assignment &Run) const {
+bool Scheduler::isStartDue(const VmState &Vm, const Assignment &Run) const {
   bool IsDurable = Run.Commit != CommitNumber{} && Run.Commit <= Durable;
-  return Run.SentInSync == 0 && IsDurable && !StartsHeld;
+  return Run.SentInSync == 0 && IsDurable && !StartsHeld && !Vm.Evacuated;
 }
 
 bool Scheduler::hasOrders(const VmId &Id) const {
@@ -336,7 +338,7 @@
   return std::any_of(
       Vm.Assigned.begin(), Vm.Assigned.end(), [&](const auto &Each) {
         const Assignment &Run = Each.second;
-        return Run.Stopping ? Run.StopSentInSync == 0 : isStartDue(Run);
+        return Run.Stopping ? Run.StopSentInSync == 0 : isStartDue(Vm, Run);
       });
 }
 
@@ -372,7 +374,7 @@
       }
       continue;
     }
-    if (!isStartDue(Run))
+    if (!isStartDue(Vm, Run))
       continue;
     auto Found = Jobs.find(Name.Job);
     if (Found == Jobs.end())
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -140,7 +140,7 @@
 
 bool isFeasible(const VmState &Vm, const VmRequest &Request,
                 const Resources &Free, TimePoint Now) {
-  if (!Vm.Worker || Vm.Worker->Draining ||
+  if (!Vm.Worker || Vm.Worker->Draining || Vm.Evacuated ||
       Vm.Worker->Service != Request.Service || Now - Vm.LastReply > MaxSilence)
     return false;
 
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -88,6 +88,8 @@
       millisecondsOr(File, "bounds", "max_lease_ms", Result.MaxLease);
   Result.StopTimeout =
       millisecondsOr(File, "bounds", "stop_timeout_ms", Result.StopTimeout);
+  Result.EvacuationBound =
+      millisecondsOr(File, "bounds", "evacuation_ms", Result.EvacuationBound);
   Result.Processors = processors(File);
   File.rejectUnread();
   return Result;
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -4,6 +4,7 @@
 #ifndef DAISYSPOOL_TESTS_FLEET_VIRTUALFLEET_H
 #define DAISYSPOOL_TESTS_FLEET_VIRTUALFLEET_H
 
+#include "EvacuationOrders.h"
 #include "daisyspool/http/Server.h"
 #include "daisyspool/intake/intake.h"
 #include "daisyspool/leadership/LeaderDuty.h"
@@ -201,11 +202,19 @@
       if (Set != Owner.TimePerEvent.end())
         Cpu.TimePerEvent = Set->second;
       Leader.configure(Owner.Config);
+      if (Owner.EvacuationBound > Millis(0))
+        OperatorWatch = std::make_unique<rows::TableWatch>(
+            Cpu, Owner.Loop, Store,
+            rows::TableWatch::Options{"op", {""}, Millis(1000), true},
+            [this](const std::vector<rows::StoredRow> &Rows) {
+              if (Evacuations.apply(Rows))
+                Leader.evacuate(Evacuations.domains());
+            });
     }
     ~Entry() { *Alive = false; }
 
-    static leadership::LeaderDuty::Options options(VirtualFleet &Owner,
-                                                   std::size_t Number) {
+    leadership::LeaderDuty::Options options(const VirtualFleet &Owner,
+                                            std::size_t Number) const {
       leadership::LeaderDuty::Options Result;
       Result.Process = ProcessId("entry" + std::to_string(Number));
       Result.ProcessIncarnation =
@@ -214,6 +223,8 @@
       auto Set = Owner.Processors.find(Number);
       if (Set != Owner.Processors.end())
         Result.Processors = Set->second;
+      Result.EvacuationBound = Owner.EvacuationBound;
+      Result.EvacuationsAsOf = [this] { return OperatorWatch->currentAsOf(); };
       return Result;
     }
 
@@ -222,6 +233,8 @@
     StoreConnection Store;
     intake::JobIntake Intake;
     leadership::LeaderDuty Leader;
+    platform::EvacuationOrders Evacuations;
+    std::unique_ptr<rows::TableWatch> OperatorWatch;
   };
 
   void startEntry(std::size_t I) {
@@ -301,6 +314,9 @@
   /// both apply from the next start of the entry.
   std::map<std::size_t, MilliCores> Processors;
   std::map<std::size_t, Millis> TimePerEvent;
+  /// Applies from the next start of an entry; without one entries do not follow
+  /// the operator.
+  Millis EvacuationBound{0};
   std::vector<std::unique_ptr<VirtualWorker>> Workers;
   std::vector<std::unique_ptr<VirtualAgent>> Agents;
   /// By agent, whether it is cut off from all entries.
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -28,6 +28,8 @@
   std::set<std::string> RefusedProcesses;
   /// Calls that wait for changes get no answer.
   bool SilentFeeds = false;
+  /// Reads and feeds of this table get no answer.
+  std::string SilentTable;
   /// Share of transactions whose answer is lost.
   double LostAnswerShare = 0;
   /// Transactions whose answer is lost are applied 2.5 s later instead of at
@@ -190,7 +192,7 @@
     auto Done = handledByCpu(std::move(Handler));
     Store.Loop.after(Store.Delay, [&Backend = Store, Range, Timeout,
                                    CallerAlive = Alive, Name = Process, Done] {
-      if (Backend.Silent)
+      if (Backend.Silent || Range.Table == Backend.SilentTable)
         return answer(Backend, CallerAlive, Timeout, Done,
                       rows::ReadOutcome(rows::ReadFailed{"silent"}));
       if (Backend.refuses(Name))
@@ -236,7 +238,7 @@
                                        After, End, Done] {
       if (!*CallerAlive)
         return;
-      if (Backend.Silent || Backend.SilentFeeds)
+      if (Backend.Silent || Backend.SilentFeeds || Table == Backend.SilentTable)
         return Backend.Loop.now() >= End
                    ? Done(rows::ReadFailed{"silent"})
                    : poll(Backend, CallerAlive, Name, Table, After, End, Done);
--- a/tests/fleet/VirtualWorker.h
+++ b/tests/fleet/VirtualWorker.h
@@ -43,6 +43,7 @@
   std::size_t MaxListedEnds = 500;
   /// A rebooted worker has the id of its earlier life.
   bool KeepsId = false;
+  FailureDomainId Domain{"a"};
   /// Error of the clock from which a new life takes its number.
   std::chrono::milliseconds ClockError{0};
 
@@ -66,14 +67,9 @@
 
   runner::WorkerAnnouncement announcement() {
     runner::WorkerAnnouncement Result;
-    Result.Worker = {CurrentLife,
-                     id(),
-                     ServiceId("service"),
-                     FailureDomainId("a"),
-                     Capacity,
-                     {"a", "r1-1"},
-                     Draining,
-                     Millis(4500)};
+    Result.Worker = {CurrentLife, id(),        ServiceId("service"),
+                     Domain,      Capacity,    {"a", "r1-1"},
+                     Draining,    Millis(4500)};
     Result.Sequence = SequenceNumber(++AnnouncementCount);
     return Result;
   }
@@ -162,6 +158,13 @@
 
   bool idle() const { return Running.empty(); }
 
+  /// The number of runs that started at \p Since or later.
+  std::size_t startsSince(TimePoint Since) const {
+    return static_cast<std::size_t>(
+        std::count_if(StartTimes.begin(), StartTimes.end(),
+                      [Since](TimePoint At) { return At >= Since; }));
+  }
+
   std::size_t endCount() const { return Ended.size() + LastEnd; }
 
 private:
@@ -212,6 +215,7 @@
     RunState Run{Start.Name.Run, Loop.now(), Behaviour.Work,
                  Invariants.reservedResources(Start.Name.Task)};
     Running[Start.Name.Task] = Run;
+    StartTimes.push_back(Loop.now());
     Invariants.started(Name, Start.Name, Capacity);
     if (Hangs)
       return;
@@ -260,6 +264,7 @@
   runner::EndNumber LapsedUpTo;
   std::map<runner::TaskName, RunState> Running;
   std::vector<runner::EndedTask> Ended;
+  std::vector<TimePoint> StartTimes;
   /// By task, the newest run that has ended or must not start any more.
   std::map<runner::TaskName, runner::RunNumber> ClosedUpTo;
 };
--- a/tests/rows/TableWatchTest.cpp
+++ b/tests/rows/TableWatchTest.cpp
@@ -77,6 +77,38 @@
   REQUIRE(Table.Loop.now() - Table.Watch->lastAnswer() < Millis(1100));
 }
 
+// Guards against a row that seems to exist for ever because it was removed
+// while the store's history was gone.
+TEST_CASE("a watch reports removals that it has missed") {
+  Fixture Table;
+  for (int I = 0; I < 60; ++I)
+    Table.put("a", "k" + std::to_string(I), "1");
+  std::set<std::string> Keys;
+  TableWatch Watch(Table.Loop, Table.Loop, Table.Connection,
+                   {"t", {"a", "b"}, Millis(1000), true},
+                   [&Keys](const std::vector<StoredRow> &Changed) {
+                     for (const StoredRow &Row : Changed)
+                       if (Row.Removed)
+                         Keys.erase(Row.Name.Key);
+                       else
+                         Keys.insert(Row.Name.Key);
+                   });
+  Table.Loop.runFor(Millis(100));
+  Table.put("b", "new", "1");
+  Table.Loop.runFor(Millis(100));
+  REQUIRE(Keys.size() == 61);
+  Table.Store.Down = true;
+  Table.Loop.runFor(Millis(1000));
+  RowTransaction Write;
+  Write.Removes = {{"t", "a", "k55"}, {"t", "b", "new"}};
+  Table.Store.apply(Write);
+  Table.Store.HistoryTrimmedTo = Table.Store.version().next();
+  Table.Store.Down = false;
+  Table.Loop.runFor(Millis(500));
+  REQUIRE(Keys.size() == 59);
+  REQUIRE(Keys.count("k55") == 0);
+}
+
 // Guards against a row whose handling throws and after which the table is never
 // followed again: the leader would learn of no further job.
 TEST_CASE("a watch goes on after its callback has thrown for a row") {
--- a/tests/runner/AgentSessionTest.cpp
+++ b/tests/runner/AgentSessionTest.cpp
@@ -286,3 +286,20 @@
   REQUIRE(Setup.Worker.Stops == 1);
   REQUIRE(Setup.Worker.Starts < 50);
 }
+
+// Guards against starts that an agent keeps for longer than an evacuation may
+// take, after its leader has died.
+TEST_CASE("an agent without a leader sends no start after 1.5 s") {
+  Fixture Setup;
+  Setup.follow(Millis(7000));
+  Setup.Worker.StartAnswer = NoWorkerAnswer{"lost"};
+  std::vector<StartOrder> Orders(40, Setup.order());
+  for (std::uint32_t I = 0; I < Orders.size(); ++I)
+    Orders[I].Name.Task.Index = I;
+  Setup.sync(Orders, {});
+  Setup.Loop.runFor(Millis(1500));
+  std::size_t Sent = Setup.Worker.Starts;
+  REQUIRE(Sent >= Orders.size());
+  Setup.Loop.runFor(Millis(6000));
+  REQUIRE(Setup.Worker.Starts == Sent);
+}
--- a/tests/settings/NodeSettingsTest.cpp
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -55,3 +55,14 @@
         SettingsError);
   }
 }
+
+// Guards against entries that hold starts for a bound that no deployment
+// states.
+TEST_CASE("a node has a bound for evacuations only if it is set") {
+  REQUIRE(settingsWith("").EvacuationBound == Millis(0));
+  REQUIRE(
+      settingsWith("", "[bounds]\nevacuation_ms = 5000\n").EvacuationBound ==
+      Millis(5000));
+  REQUIRE_THROWS_AS(settingsWith("", "[bounds]\nevacuation_ms = x\n"),
+                    SettingsError);
+}
