Refuse callers at once while the store does not serve this entry

Cause: an entry that the store turned away held each submission for 0.6 s, told the caller to wait a second and stayed ready for 2.5 s, although other entries could serve it. Retries whose deadline ended while the store turned all calls away were answered 504, although nothing could be stored.

Change: StoreAccess concludes from all calls of an entry whether the store serves it. While it does not, requests are refused without a call, except for one probe each 300 ms; the entry is not ready and ends connections. RefusalAdvice lets callers retry at once until a refused job comes back.

--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -2,7 +2,9 @@
 #define DAISYSPOOL_INTAKE_JOBINTAKE_H
 
 #include "daisyspool/core/EventLoop.h"
+#include "daisyspool/intake/RefusalAdvice.h"
 #include "daisyspool/rows/RowStore.h"
+#include "daisyspool/rows/StoreAccess.h"
 #include "daisyspool/scheduling/JobProgress.h"
 #include "daisyspool/workload/JobDefinition.h"
 
@@ -34,7 +36,9 @@
 /// The store certainly has no such job.
 struct NoSuchJob {};
 /// The store cannot be read or written now.
-struct StoreUnavailable {};
+struct StoreUnavailable {
+  Millis RetryAfter{1000};
+};
 using StatusOutcome = std::variant<KnownJob, NoSuchJob, StoreUnavailable>;
 
 struct CancelAccepted {};
@@ -47,9 +51,12 @@
 /// Thread safety: call from the I/O thread only; callbacks run there.
 class JobIntake {
 public:
+  /// \p Access is what all calls of this entry show about the store; it must
+  /// outlive this object. Without it, each request finds out by itself.
   JobIntake(EventLoop &Loop, const Clock &Time, rows::RowStore &Store,
-            const rows::StoreLimits &Limits)
-      : Loop(Loop), Time(Time), Store(Store), Limits(Limits) {}
+            const rows::StoreLimits &Limits,
+            rows::StoreAccess *Access = nullptr)
+      : Loop(Loop), Time(Time), Store(Store), Limits(Limits), Access(Access) {}
   JobIntake(const JobIntake &) = delete;
   JobIntake &operator=(const JobIntake &) = delete;
 
@@ -66,6 +73,10 @@
   void cancel(const JobId &Job, Millis Timeout,
               std::function<void(CancelOutcome)> Done);
 
+  /// Whether requests are refused because the store does not serve this entry.
+  /// Another entry may serve them.
+  bool isStoreLost() const;
+
 private:
   struct Submission;
   struct Cancellation;
@@ -73,11 +84,13 @@
   /// A timeout of at least \p Minimum that lets a slow store answer.
   Millis adaptiveTimeout(Millis Minimum) const;
   bool isStoreSilent() const;
+  bool shouldRefuseUnsent();
   void probeStore(const std::shared_ptr<Submission> &Request);
   Millis elapsed(const Submission &Request) const;
   Millis remainingTime(const Submission &Request) const;
   void reportUndecided(const Submission &Request);
   void reportRefused(const Submission &Request, const char *Cause);
+  StoreUnavailable storeUnavailable() const;
   void reportUnstorable(const Submission &Request, const std::string &Detail);
   void commitJob(const std::shared_ptr<Submission> &Request);
   void onCommitOutcome(const std::shared_ptr<Submission> &Request,
@@ -91,6 +104,8 @@
   const Clock &Time;
   rows::RowStore &Store;
   rows::StoreLimits Limits;
+  rows::StoreAccess *Access;
+  RefusalAdvice Advice;
   /// Start of the first attempt since the store last answered.
   std::optional<TimePoint> UnansweredSince;
   Millis LastResponseTime{0};
--- a/include/daisyspool/intake/intake.h
+++ b/include/daisyspool/intake/intake.h
@@ -2,6 +2,7 @@
 //
 //   Layout.h     names of the tables and rows in the store
 //   JobIntake.h  accepts jobs, reports their status, records cancellations
+//   RefusalAdvice.h  when a refused caller may retry
 //
 // See JobIntake.h next; leadership/LeaderDuty.h processes what it stores.
 #ifndef DAISYSPOOL_INTAKE_INTAKE_H
@@ -9,5 +10,6 @@
 
 #include "daisyspool/intake/JobIntake.h"
 #include "daisyspool/intake/Layout.h"
+#include "daisyspool/intake/RefusalAdvice.h"
 
 #endif // DAISYSPOOL_INTAKE_INTAKE_H
--- a/src/http/Connection.cpp
+++ b/src/http/Connection.cpp
@@ -168,7 +168,9 @@
   Answer->result(static_cast<unsigned>(Reply.Status));
   setHeaders(*Answer, Reply.Headers);
   Answer->body() = std::move(Reply.Body);
-  Answer->keep_alive(RequestKeepAlive && !Owner->draining());
+  // The handler may ask for the end of the connection by "Connection: close".
+  Answer->keep_alive(RequestKeepAlive && !Owner->draining() &&
+                     Answer->keep_alive());
   Answer->prepare_payload();
   write(Answer->keep_alive());
 }
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -71,12 +71,26 @@
         *Request, "the job takes " + std::to_string(Request->Value.size()) +
                       " bytes, at most " + std::to_string(Limits.RowBytes) +
                       " can be stored");
-  if (isStoreSilent())
+  if (shouldRefuseUnsent())
+    return reportRefused(*Request, "store_access_lost");
+  if (isStoreSilent() || isStoreLost())
     probeStore(Request);
   else
     commitJob(Request);
 }
 
+bool JobIntake::isStoreLost() const {
+  return Access && Access->isLost(Time.now());
+}
+
+/// Load pattern: the store turns this entry away, or does not answer it, while
+/// callers keep coming. Nothing is sent for most of them, so that they reach
+/// another entry at once; the others find out when the store serves this entry
+/// again.
+bool JobIntake::shouldRefuseUnsent() {
+  return isStoreLost() && !Access->tryBeginProbe(Time.now());
+}
+
 Millis JobIntake::adaptiveTimeout(Millis Minimum) const {
   return std::max(Minimum, LastResponseTime * TimeoutHalves / 2);
 }
@@ -125,7 +139,12 @@
       .with("job", Request.Id)
       .with("cause", Cause)
       .with("spent_ms", elapsed(Request).count());
-  Request.Done(Refused{RefusedRetryAfter});
+  Request.Done(Refused{isStoreLost() ? Advice.onRefused(Request.Id, Time.now())
+                                     : RefusedRetryAfter});
+}
+
+StoreUnavailable JobIntake::storeUnavailable() const {
+  return {isStoreLost() ? Advice.retryAfter(Time.now()) : RefusedRetryAfter};
 }
 
 void JobIntake::reportUnstorable(const Submission &Request,
@@ -176,11 +195,14 @@
   if (const auto *Refusal = std::get_if<rows::Rejected>(&Outcome))
     return reportUnstorable(*Request,
                             "the store rejects the job: " + Refusal->Detail);
-  if (!Request->MayBeStored && Elapsed >= RefusalTimeout)
+  if (!Request->MayBeStored && (Elapsed >= RefusalTimeout || isStoreLost()))
     return reportRefused(*Request, "store_unavailable");
   if (Elapsed >= adaptiveTimeout(UndecidedTimeout) ||
-      Now + RetryDelay >= Request->Deadline)
+      Now + RetryDelay >= Request->Deadline) {
+    if (!Request->MayBeStored)
+      return reportRefused(*Request, "store_unavailable");
     return reportUndecided(*Request);
+  }
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
     return probeStore(Request);
   retryLater(Request);
@@ -196,13 +218,15 @@
 
 void JobIntake::status(const JobId &Job, Millis Timeout,
                        std::function<void(StatusOutcome)> Done) {
+  if (shouldRefuseUnsent())
+    return Done(storeUnavailable());
   Store.read(
       singleRowRange(progressRow(Job)), std::min(Timeout, CallTimeout),
       [this, Job, Timeout,
        Done = std::move(Done)](const rows::ReadOutcome &Outcome) {
         const auto *Page = std::get_if<rows::RowPage>(&Outcome);
         if (!Page)
-          return Done(StoreUnavailable{});
+          return Done(storeUnavailable());
         if (Page->Rows.empty())
           return readJob(Job, Timeout, Done);
         try {
@@ -211,7 +235,7 @@
           LogEvent(LogLevel::Error, "progress_unreadable")
               .with("job", Job)
               .with("detail", Problem.what());
-          Done(StoreUnavailable{});
+          Done(storeUnavailable());
         }
       });
 }
@@ -219,10 +243,10 @@
 void JobIntake::readJob(const JobId &Job, Millis Timeout,
                         std::function<void(StatusOutcome)> Done) {
   Store.read(singleRowRange(jobRow(Job)), std::min(Timeout, CallTimeout),
-             [Done = std::move(Done)](const rows::ReadOutcome &Outcome) {
+             [this, Done = std::move(Done)](const rows::ReadOutcome &Outcome) {
                const auto *Page = std::get_if<rows::RowPage>(&Outcome);
                if (!Page)
-                 return Done(StoreUnavailable{});
+                 return Done(storeUnavailable());
                if (Page->Rows.empty())
                  return Done(NoSuchJob{});
                Done(KnownJob{scheduling::JobStatus::Queued});
@@ -231,6 +255,8 @@
 
 void JobIntake::cancel(const JobId &Job, Millis Timeout,
                        std::function<void(CancelOutcome)> Done) {
+  if (shouldRefuseUnsent())
+    return Done(storeUnavailable());
   auto Request = std::make_shared<Cancellation>(Loop);
   Request->Id = Job;
   Request->Deadline = Time.now() + Timeout;
@@ -239,7 +265,7 @@
     if (std::holds_alternative<NoSuchJob>(Outcome))
       return Request->Done(NoSuchJob{});
     if (std::holds_alternative<StoreUnavailable>(Outcome))
-      return Request->Done(StoreUnavailable{});
+      return Request->Done(storeUnavailable());
     writeCancellation(Request);
   });
 }
@@ -257,7 +283,7 @@
                  }
                  bool IsFinal = std::holds_alternative<rows::Rejected>(Outcome);
                  if (IsFinal || Time.now() + RetryDelay >= Request->Deadline)
-                   return Request->Done(StoreUnavailable{});
+                   return Request->Done(storeUnavailable());
                  Request->RetryTimer->start(
                      RetryDelay, [this, Request, Self = std::weak_ptr(Alive)] {
                        if (!Self.expired())
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -7,6 +7,7 @@
 #include "daisyspool/http/Server.h"
 #include "daisyspool/intake/intake.h"
 #include "daisyspool/leadership/LeaderDuty.h"
+#include "daisyspool/rows/ObservedStore.h"
 #include "fleet/VirtualWorker.h"
 
 namespace daisyspool::testing {
@@ -189,8 +190,10 @@
   struct Entry {
     Entry(VirtualFleet &Owner, std::size_t Number)
         : Alive(std::make_shared<bool>(true)), Cpu(Owner.Loop, Alive),
-          Store(Owner.Store, "entry" + std::to_string(Number), Alive, &Cpu),
-          Intake(Cpu, Owner.Loop, Store, Owner.Store.Limits),
+          Connection(Owner.Store, "entry" + std::to_string(Number), Alive,
+                     &Cpu),
+          Store(Owner.Loop, Connection),
+          Intake(Cpu, Owner.Loop, Store, Owner.Store.Limits, &Store.access()),
           Leader(
               Cpu, Owner.Loop, Store,
               [&Owner, this](const http::Endpoint &Agent) {
@@ -219,7 +222,8 @@
 
     AliveFlag Alive;
     VirtualProcessor Cpu;
-    StoreConnection Store;
+    StoreConnection Connection;
+    rows::ObservedStore Store;
     intake::JobIntake Intake;
     leadership::LeaderDuty Leader;
   };
--- a/tests/intake/JobIntakeTest.cpp
+++ b/tests/intake/JobIntakeTest.cpp
@@ -16,7 +16,8 @@
   VirtualStore Store{Loop, Random};
   AliveFlag Alive = std::make_shared<bool>(true);
   StoreConnection Connection{Store, "p", Alive};
-  JobIntake Intake{Loop, Loop, Connection, {}};
+  rows::ObservedStore Observed{Loop, Connection};
+  JobIntake Intake{Loop, Loop, Observed, {}, &Observed.access()};
   /// The answer to the newest submission.
   std::optional<SubmitOutcome> Answer;
   std::string NewestId;
@@ -212,3 +213,72 @@
   REQUIRE(std::holds_alternative<Unstorable>(*Setup.Answer));
   REQUIRE(Setup.Store.Rejections == 1);
 }
+
+// Load pattern: the store turns this entry away while callers keep coming.
+// Guards against callers that wait for retries of which the earlier ones have
+// shown that they fail, and against an entry that refuses callers after the
+// store serves it again.
+TEST_CASE("an entry that the store turns away refuses callers at once") {
+  Fixture Setup;
+  Setup.Store.RefusedProcesses.insert("p");
+  Setup.submit("first");
+  Setup.Loop.runFor(Millis(200));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Refused>(*Setup.Answer));
+  REQUIRE(Setup.Intake.isStoreLost());
+  for (const char *Id : {"second", "third"}) {
+    Setup.submit(Id);
+    Setup.Loop.runFor(Millis(20));
+    REQUIRE(Setup.Answer);
+    REQUIRE(std::holds_alternative<Refused>(*Setup.Answer));
+  }
+
+  Setup.Store.RefusedProcesses.clear();
+  Setup.Loop.runFor(Millis(300));
+  Setup.submit("fourth");
+  Setup.Loop.runFor(Millis(100));
+  REQUIRE(Setup.Answer);
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+  REQUIRE_FALSE(Setup.Intake.isStoreLost());
+  REQUIRE_FALSE(Setup.isStored("second"));
+}
+
+// Load pattern: the store no longer answers this entry while callers ask for
+// the status of jobs. Guards against each of them waiting for its own timeout
+// although another entry could answer.
+TEST_CASE("a status request is not held while the store is lost") {
+  Fixture Setup;
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(100));
+  Setup.Store.Silent = true;
+  int Unavailable = 0;
+  auto Query = [&] {
+    Setup.Intake.status(
+        JobId("a"), Millis(1000), [&](const StatusOutcome &Outcome) {
+          Unavailable += std::holds_alternative<StoreUnavailable>(Outcome);
+        });
+  };
+  Query();
+  Setup.Loop.runFor(Millis(150));
+  Query();
+  Setup.Loop.runFor(Millis(1100));
+  REQUIRE(Unavailable == 2);
+  // One of them may probe the store.
+  for (int I = 0; I < 3; ++I)
+    Query();
+  Setup.Loop.runFor(Millis(20));
+  REQUIRE(Unavailable >= 4);
+}
+
+// Guards against a caller with little time left that is told that its job may
+// be stored although the store has turned away all that was sent.
+TEST_CASE("a submission that was never stored is refused at its deadline") {
+  Fixture Setup;
+  Setup.Store.RefusedProcesses.insert("p");
+  std::optional<SubmitOutcome> Answer;
+  Setup.Intake.submit(chainJob("a", 1, 1), Millis(100),
+                      [&](const SubmitOutcome &Outcome) { Answer = Outcome; });
+  Setup.Loop.runFor(Millis(200));
+  REQUIRE(Answer);
+  REQUIRE(std::holds_alternative<Refused>(*Answer));
+}
