Replace a regular leader as soon as a renewal is missing

Cause: a leader that the store turns away was replaced 1.7 to 1.8 s after its last renewal, which is the limit for a slow store. Nothing starts until then.

Change: RenewalRhythm learns the intervals of the renewals. An entry takes over 450 ms after the longest recent one, unless the read of the fence takes over 100 ms, as a slow store delays renewals.

--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -71,6 +71,8 @@
 
   void onStatusRows(const std::vector<rows::StoredRow> &Rows);
   void checkLeader();
+  /// Whether the leader has not renewed its status for \p Patience.
+  bool isRenewalOverdue(Millis Patience) const;
   void readFence();
   void takeOver(rows::RowVersion FenceVersion, Epoch NewestEpoch);
   void onTakeoverOutcome(const Takeover &Attempt,
@@ -124,6 +126,7 @@
   std::unique_ptr<LeaderState> Leadership;
   rows::TableWatch StatusWatch;
   std::unique_ptr<Timer> TickTimer;
+  RenewalRhythm Rhythm;
   LagMonitor Lag;
   bool OverloadReported = false;
 };
--- a/include/daisyspool/leadership/Succession.h
+++ b/include/daisyspool/leadership/Succession.h
@@ -5,6 +5,8 @@
 #include "daisyspool/core/Units.h"
 #include "daisyspool/leadership/LeaderRecord.h"
 
+#include <array>
+#include <cstddef>
 #include <optional>
 
 namespace daisyspool::leadership {
@@ -26,6 +28,34 @@
 /// Thread safety: safe from any thread.
 bool shouldRelieve(MilliCores Own, const LeaderStatus &Leader);
 
+/// Learns how regularly a leader renews its status, so that its loss shows
+/// earlier than the limit that a slow store requires.
+///
+/// Load pattern: the store turns the leader away, or its machine is lost, while
+/// work arrives. Nothing starts until another entry leads.
+///
+/// Thread safety: one thread at a time.
+class RenewalRhythm {
+public:
+  /// Records a renewal by the leader of \p Term received at \p Now, which is
+  /// not earlier than in the last call.
+  void observe(Epoch Term, TimePoint Now);
+
+  /// How long after its last renewal a leader counts as overdue: a margin
+  /// beyond the longest of its recent intervals, and at most \p Limit. \p Limit
+  /// while too few intervals are known.
+  Millis patience(Millis Limit) const;
+
+private:
+  static constexpr std::size_t IntervalCount = 8;
+
+  Epoch Observed;
+  std::optional<TimePoint> LastAt;
+  /// The newest intervals, in no order.
+  std::array<Millis, IntervalCount> Intervals{};
+  std::size_t Total = 0;
+};
+
 /// Detects that a process no longer keeps up with its work, by how late its
 /// periodic timer runs.
 ///
--- a/src/leadership/LeaderTakeover.cpp
+++ b/src/leadership/LeaderTakeover.cpp
@@ -21,6 +21,9 @@
 /// How many rows of the intake are applied in one step of the event loop. A new
 /// leader reads those of all jobs and has to renew its status meanwhile.
 constexpr std::size_t MaxRowsPerStep = 200;
+/// A store that takes longer for a read may delay renewals by more than their
+/// past intervals show.
+constexpr Millis QuickRead{100};
 
 WallMillis ageOf(const workload::JobRecord &Job, const Clock &Time) {
   return Time.wallNow() - Job.Accepted;
@@ -57,6 +60,7 @@
             .with("epoch", Next.Leader.Term)
             .with("process", Next.Leader.Process);
       Status = std::move(Next);
+      Rhythm.observe(Status.Leader.Term, StatusReceivedAt);
     } catch (const ProtocolError &Problem) {
       LogEvent(LogLevel::Error, "leader_row_unreadable")
           .with("detail", Problem.what());
@@ -74,11 +78,8 @@
   Millis Delay = takeoverDelay(Config.Processors, Status);
   bool NoLeader =
       Status.Leader.Term == Epoch{} && Time.now() - StatusChangedAt >= Delay;
-  // Counts only time up to the last answer of the store; otherwise an entry
-  // that the store had refused to serve would replace a healthy leader when the
-  // store answers it again.
   bool RenewalOverdue =
-      StatusWatch.lastAnswer() - StatusChangedAt > Config.TakeoverAfter + Delay;
+      isRenewalOverdue(Rhythm.patience(Config.TakeoverAfter) + Delay);
   bool ReleaseSeen = Status.Released && Time.now() - StatusChangedAt >= Delay;
   // An earlier incarnation of this process led; it no longer exists.
   bool WasThisProcess =
@@ -89,12 +90,26 @@
     readFence();
 }
 
+bool LeaderDuty::isRenewalOverdue(Millis Patience) const {
+  // Counts only time up to the last answer of the store; otherwise an entry
+  // that the store had refused to serve would replace a healthy leader when the
+  // store answers it again.
+  return StatusWatch.lastAnswer() - StatusChangedAt > Patience;
+}
+
 void LeaderDuty::readFence() {
   TakingOver = true;
   Store.read(
       singleRowRange(intake::fenceRow()), CallTimeout,
-      [this, SeenLeader = Status.Leader](const rows::ReadOutcome &Outcome) {
+      [this, SeenLeader = Status.Leader, SentAt = Time.now(),
+       IsEarly = isRenewalOverdue(Rhythm.patience(Config.TakeoverAfter)) &&
+                 !isRenewalOverdue(Config.TakeoverAfter)](
+          const rows::ReadOutcome &Outcome) {
         const auto *Page = std::get_if<rows::RowPage>(&Outcome);
+        if (IsEarly && Time.now() - SentAt > QuickRead) {
+          TakingOver = false;
+          return;
+        }
         // A newer leader's status may have arrived during the read.
         if (!Page || Closed || Status.Leader != SeenLeader) {
           TakingOver = false;
--- a/src/leadership/Succession.cpp
+++ b/src/leadership/Succession.cpp
@@ -17,6 +17,12 @@
 /// How much larger an entry must be to relieve an overloaded leader, in
 /// percent; a takeover between similar entries would only cost time.
 constexpr std::int64_t ReliefPercent = 150;
+/// Margin beyond the longest recent interval between renewals. About one
+/// interval, so that a single delayed renewal does not cause a takeover.
+constexpr Millis RenewalMargin{450};
+/// Renewals that arrive together after a delay must not shorten the patience
+/// below this.
+constexpr Millis MinPatience{900};
 
 } // namespace
 
@@ -37,6 +43,28 @@
          Own.value() * 100 >= Leader.Processors.value() * ReliefPercent;
 }
 
+void RenewalRhythm::observe(Epoch Term, TimePoint Now) {
+  if (Term != Observed) {
+    Observed = Term;
+    LastAt.reset();
+    Total = 0;
+  }
+  // The same status was read again.
+  if (LastAt == Now)
+    return;
+  if (LastAt)
+    Intervals[Total++ % IntervalCount] =
+        std::chrono::duration_cast<Millis>(Now - *LastAt);
+  LastAt = Now;
+}
+
+Millis RenewalRhythm::patience(Millis Limit) const {
+  if (Total < IntervalCount)
+    return Limit;
+  Millis Longest = *std::max_element(Intervals.begin(), Intervals.end());
+  return std::min(Limit, std::max(MinPatience, Longest + RenewalMargin));
+}
+
 void LagMonitor::observe(Millis Lag, TimePoint Now) {
   double Sample = std::clamp(static_cast<double>(Lag.count()), 0.0, MaxSample);
   Smoothed += Gain * (Sample - Smoothed);
--- a/tests/leadership/SuccessionTest.cpp
+++ b/tests/leadership/SuccessionTest.cpp
@@ -26,6 +26,30 @@
 
 } // namespace
 
+// Load pattern: the store turns the leader away while work arrives. Guards
+// against waiting as long as a slow store requires, and against a takeover from
+// a leader whose renewals are irregular or not known yet.
+TEST_CASE("a regular leader is missed sooner than an irregular one") {
+  constexpr Millis Limit{1600};
+  RenewalRhythm Rhythm;
+  TimePoint Now{};
+  auto Renew = [&](Millis Interval, int Count) {
+    for (int I = 0; I < Count; ++I)
+      Rhythm.observe(Epoch(3), Now += Interval);
+  };
+  Renew(Millis(510), 5);
+  REQUIRE(Rhythm.patience(Limit) == Limit);
+  Renew(Millis(510), 10);
+  REQUIRE(Rhythm.patience(Limit) >= Millis(900));
+  REQUIRE(Rhythm.patience(Limit) <= Millis(1050));
+  Renew(Millis(0), 20);
+  REQUIRE(Rhythm.patience(Limit) >= Millis(900));
+  Renew(Millis(1200), 1);
+  REQUIRE(Rhythm.patience(Limit) == Limit);
+  Rhythm.observe(Epoch(4), Now);
+  REQUIRE(Rhythm.patience(Limit) == Limit);
+}
+
 // Load pattern: the leader of a large fleet dies. Guards against a takeover by
 // whichever entry is nearest to the store, able or not.
 TEST_CASE("smaller entries take over later than larger ones") {
