Decide per run what leaves a draining worker and save listed checkpoints

Cause: at the first sight of a draining worker all its checkpointing and long-running tasks were stopped, with room elsewhere or without, although the worker says how long it stays. A checkpoint was kept only from a run's end, so a lost worker cost all work of its runs. A VM whose worker had just been lost came back empty and got the next tasks.

Change: RunForecast estimates a run's rest by its progress; DrainPlan decides to stay or move by that, the time left, the room elsewhere and the step's limit; the room is kept until the stop is over. Listed checkpoints are kept. VmHistory makes a VM with a lost worker the last choice for a time, and bars services from a flapping one. Agents report the time that is left now.

--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -59,6 +59,9 @@
   /// How late this process handles its events, averaged.
   Millis lag() const { return Lag.lag(); }
 
+  /// Leaving and unsteady workers; zero while this process does not lead.
+  scheduling::Scheduler::WorkerSummary workerSummary() const;
+
   /// Stops leading, publishes that the leadership is released, and calls \p
   /// Done.
   void close(std::function<void()> Done);
--- a/include/daisyspool/runner/AgentSession.h
+++ b/include/daisyspool/runner/AgentSession.h
@@ -189,6 +189,8 @@
   std::uint64_t NewestSync = 0;
   /// The worker's newest confirmed announcement; empty in a new agent process.
   std::optional<WorkerReport> Worker;
+  /// When the newest announcement of the worker was applied.
+  TimePoint AnnouncedAt{};
   /// The worker's newest known life; 0 while none is known.
   WorkerLife Life;
   /// When this process learned of the known life.
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -164,6 +164,13 @@
   /// has not started before a worker lists it.
   std::map<workload::QueueId, std::uint32_t> pending() const;
 
+  /// Numbers of VMs whose worker leaves, and whose worker was lost lately.
+  struct WorkerSummary {
+    std::size_t Leaving = 0;
+    std::size_t Unsteady = 0;
+  };
+  WorkerSummary workerSummary(TimePoint Now) const;
+
   const JobProgress *job(const JobId &Id) const;
   const VmState *vm(const VmId &Id) const;
   std::size_t jobCount() const { return Jobs.size(); }
@@ -193,7 +200,7 @@
   /// Assigns the restored runs of a job and ends it if its status is final.
   void restoreRuns(JobProgress &Job, TimePoint Now);
   void endJob(JobProgress &Job, JobStatus Status);
-  void applyWorker(VmState &Vm, const runner::SyncReply &Reply);
+  void applyWorker(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
   void applyEnds(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
   void applyEnd(VmState &Vm, const runner::EndedTask &End, TimePoint Now);
   void finishTask(JobProgress &Job, const TaskName &Name);
@@ -210,7 +217,11 @@
   /// Whether the next sync carries the start order of \p Run, which is not
   /// being stopped.
   bool isStartDue(const Assignment &Run) const;
-  void updateListedRuns(VmState &Vm, const runner::SyncReply &Reply);
+  void updateListedRuns(VmState &Vm, const runner::SyncReply &Reply,
+                        TimePoint Now);
+  /// Keeps what a worker lists of a run: its start, progress and checkpoint.
+  void applyListing(Assignment &Run, const runner::RunningTask &Listed,
+                    TimePoint Now);
   void stopStalled(VmState &Vm, const runner::SyncReply &Reply, TimePoint Now);
   void recordStart(Assignment &Run, JobProgress &Job);
   void onRunOver(JobProgress &Job, bool Started);
@@ -220,8 +231,22 @@
                    const char *Cause);
   void stopRun(VmState &Vm, const TaskName &Name, const char *Cause);
   void expireGrants(TimePoint Now);
-  /// Stops runs that do not end soon or can resume elsewhere.
-  void stopRunsOfDrainingWorker(VmState &Vm);
+  /// Decides which runs of leaving workers are stopped, and keeps the room that
+  /// was found for them; see DrainPlan.h. Precondition: no room is reserved yet
+  /// in this pass.
+  void planLeavingRuns(TimePoint Now);
+  void planLeavingRuns(VmState &Vm, bool LongRunning, TimePoint Now);
+  /// Returns whether the run is stopped now.
+  bool planLeavingRun(VmState &Vm, const TaskName &Name, TimePoint Now);
+  void reserveForMoves();
+  /// A VM with room for an assigned task, other than a leaving one, or null.
+  VmState *findRoom(JobProgress &Job, const TaskName &Name, TimePoint Now);
+  /// Number of tasks of the step that are not at work.
+  std::uint32_t unavailableTasks(const JobProgress &Job,
+                                 const TaskName &Name) const;
+  /// Updates the VM's history when its worker appears, is lost or leaves.
+  void observeWorker(VmState &Vm, const runner::SyncReply &Reply,
+                     TimePoint Now);
   /// Adds due occurrences of all jobs, up to the limit of a pass.
   void addDueOccurrences(WallMillis Wall);
   /// Adds the due occurrences of a job while \p TasksLeft is not used up.
@@ -279,6 +304,14 @@
   std::map<std::pair<ServiceId, workload::ImageId>, MilliCores>
       BlockedBestEffortCpu;
   TailModel Tails;
+  /// A long-running or other task that is being stopped on a leaving worker,
+  /// and the VM on which its room is kept until the stop is over.
+  struct Move {
+    VmId From;
+    VmId Target;
+  };
+  std::map<TaskName, Move> ReservedForMoves;
+  TimePoint LastLeavingPlan{};
   TimePoint LastSchedule{};
   /// Number of tasks that the current pass may still assign.
   std::size_t PlacementsLeft = 0;
--- a/include/daisyspool/scheduling/VmState.h
+++ b/include/daisyspool/scheduling/VmState.h
@@ -4,6 +4,8 @@
 #include "daisyspool/core/Clock.h"
 #include "daisyspool/core/Units.h"
 #include "daisyspool/runner/Sync.h"
+#include "daisyspool/scheduling/RunForecast.h"
+#include "daisyspool/scheduling/VmHistory.h"
 
 #include <cstdint>
 #include <deque>
@@ -55,6 +57,7 @@
   /// The sync that carried the stop order; 0 if it has to be sent.
   std::uint64_t StopSentInSync = 0;
   std::uint32_t Percent = 0;
+  RunForecast Forecast;
   /// Number of the VM's newest reply that lists the run.
   std::uint64_t ListedInReply = 0;
   /// Number of the VM's newest reply that lists an unsettled order for the run.
@@ -138,6 +141,9 @@
   double FailureScore = 0;
   /// Until then the VM gets at most one task at a time.
   TimePoint ProbationUntil{};
+  VmHistory History;
+  /// Until then a draining worker surely runs.
+  TimePoint LeavesAt{};
 
   Resources free() const { return Worker->Capacity - Held - Reserved; }
 
--- a/include/daisyspool/scheduling/scheduling.h
+++ b/include/daisyspool/scheduling/scheduling.h
@@ -3,6 +3,9 @@
 //
 //   JobProgress.h  a job's tasks and their stored form
 //   VmState.h      a VM, its worker and the runs that may be on it
+//   VmHistory.h    how long the workers of a VM have lasted
+//   RunForecast.h  when a run ends, by its progress
+//   DrainPlan.h    which runs leave a worker that will end
 //   TailModel.h    interference of best-effort tasks with serving tasks
 //   VmChoice.h     selects a VM for a task, and runs to preempt
 //   Scheduler.h    schedules all jobs on all VMs and creates agents' orders
@@ -11,9 +14,12 @@
 #ifndef DAISYSPOOL_SCHEDULING_SCHEDULING_H
 #define DAISYSPOOL_SCHEDULING_SCHEDULING_H
 
+#include "daisyspool/scheduling/DrainPlan.h"
 #include "daisyspool/scheduling/JobProgress.h"
+#include "daisyspool/scheduling/RunForecast.h"
 #include "daisyspool/scheduling/Scheduler.h"
 #include "daisyspool/scheduling/VmChoice.h"
+#include "daisyspool/scheduling/VmHistory.h"
 #include "daisyspool/scheduling/VmState.h"
 
 #endif // DAISYSPOOL_SCHEDULING_SCHEDULING_H
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -53,6 +53,12 @@
   }
 }
 
+scheduling::Scheduler::WorkerSummary LeaderDuty::workerSummary() const {
+  if (!Leadership)
+    return {};
+  return Leadership->JobScheduler.workerSummary(Time.now());
+}
+
 void LeaderDuty::startTick() {
   TickTimer->start(TickInterval, [this, Due = Time.now() + TickInterval] {
     if (Closed)
--- a/src/runner/AgentSession.cpp
+++ b/src/runner/AgentSession.cpp
@@ -82,6 +82,7 @@
   if (Life != Announcement.Worker.Life)
     beginLife(Announcement.Worker.Life);
   Worker = Announcement.Worker;
+  AnnouncedAt = Time.now();
   Sequence = Announcement.Sequence;
   if (Changed) {
     LogEvent(LogLevel::Info, "worker_announced")
@@ -430,6 +431,11 @@
   Result.LeaseExpired = WorkerSilent && Now > LeaseBound;
   if (Worker && Worker->Life == Life && !WorkerSilent)
     Result.Worker = Worker;
+  // The leader plans with what is left now, not with what was left then.
+  if (Result.Worker && Result.Worker->Draining)
+    Result.Worker->Remaining = std::max(
+        Millis(0), Result.Worker->Remaining -
+                       std::chrono::duration_cast<Millis>(Now - AnnouncedAt));
   Result.Running = Running;
   for (const auto &[Name, Order] : Orders)
     Result.Starting.push_back(Name);
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -214,18 +214,6 @@
   }
 }
 
-void Scheduler::stopRunsOfDrainingWorker(VmState &Vm) {
-  if (!Vm.Worker || !Vm.Worker->Draining)
-    return;
-
-  std::vector<TaskName> ToStop;
-  for (const auto &[Name, Run] : Vm.Assigned)
-    if (Run.LongRunning || Run.Checkpoints)
-      ToStop.push_back(Name);
-  for (const TaskName &Name : ToStop)
-    stopRun(Vm, Name, "draining");
-}
-
 bool Scheduler::addDueOccurrences(JobProgress &Job, WallMillis Wall,
                                   std::uint64_t &TasksLeft) {
   const workload::Repetition &Repeats = Job.Record.Definition.Repeats;
@@ -290,8 +278,6 @@
   LastSchedule = Now;
   FleetUnderHalfHeld = isFleetUnderHalfHeld();
   expireGrants(Now);
-  for (VmState *Vm : VmList)
-    stopRunsOfDrainingWorker(*Vm);
   WorkDeferred = false;
   PlacementsLeft = MaxPlacements;
   addDueOccurrences(Wall);
@@ -299,6 +285,7 @@
   BlockedBestEffortCpu.clear();
   for (VmState *Vm : VmList)
     Vm->Reserved = {};
+  planLeavingRuns(Now);
   for (JobProgress *Job : scheduleOrder(Now))
     placeJob(*Job, Now);
 }
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -71,13 +71,15 @@
       Run.SentInSync = Run.StopSentInSync = 0;
   }
   Vm.NewestStamp = std::max(Vm.NewestStamp, Reply.Stamp);
-  applyWorker(Vm, Reply);
+  applyWorker(Vm, Reply, Now);
   applyEnds(Vm, Reply, Now);
   applyRefusals(Vm, Reply, Now);
   reconcile(Vm, Number, Reply, Now);
 }
 
-void Scheduler::applyWorker(VmState &Vm, const runner::SyncReply &Reply) {
+void Scheduler::applyWorker(VmState &Vm, const runner::SyncReply &Reply,
+                            TimePoint Now) {
+  observeWorker(Vm, Reply, Now);
   if (!Reply.Worker || Reply.LeaseExpired) {
     Vm.Worker.reset();
     return;
@@ -242,7 +244,26 @@
   }
 }
 
-void Scheduler::updateListedRuns(VmState &Vm, const runner::SyncReply &Reply) {
+void Scheduler::applyListing(Assignment &Run, const runner::RunningTask &Listed,
+                             TimePoint Now) {
+  Run.Percent = Listed.Percent;
+  Run.Load = Listed.Load;
+  Run.Forecast.observe(Listed.Percent, Now);
+  auto Found = Jobs.find(Listed.Name.Task.Job);
+  if (Found == Jobs.end())
+    return;
+  if (!Run.Started)
+    recordStart(Run, Found->second);
+  // Load pattern: workers are lost with hundreds of runs. Only an end carries a
+  // checkpoint otherwise, so their tasks would begin anew. Not written at once,
+  // as the next leader reads it from a listing, too.
+  TaskProgress *Task = Found->second.findTask(Listed.Name.Task);
+  if (Task && !Listed.Checkpoint.empty())
+    Task->Checkpoint = Listed.Checkpoint;
+}
+
+void Scheduler::updateListedRuns(VmState &Vm, const runner::SyncReply &Reply,
+                                 TimePoint Now) {
   ++Vm.Replies;
   auto MarkListed = [&Vm](const runner::RunName &Name) -> Assignment * {
     auto Run = Vm.Assigned.find(Name.Task);
@@ -254,13 +275,8 @@
   // Once the lease has expired, the runs in the reply have ended.
   if (!Reply.LeaseExpired)
     for (const runner::RunningTask &Task : Reply.Running)
-      if (Assignment *Run = MarkListed(Task.Name)) {
-        Run->Percent = Task.Percent;
-        Run->Load = Task.Load;
-        auto Found = Jobs.find(Task.Name.Task.Job);
-        if (!Run->Started && Found != Jobs.end())
-          recordStart(*Run, Found->second);
-      }
+      if (Assignment *Run = MarkListed(Task.Name))
+        applyListing(*Run, Task, Now);
   for (const runner::RunName &Name : Reply.Starting)
     if (Assignment *Run = MarkListed(Name))
       Run->OrderListedInReply = Vm.Replies;
@@ -268,7 +284,7 @@
 
 void Scheduler::reconcile(VmState &Vm, std::uint64_t Number,
                           const runner::SyncReply &Reply, TimePoint Now) {
-  updateListedRuns(Vm, Reply);
+  updateListedRuns(Vm, Reply, Now);
   std::vector<TaskName> EndedTasks;
   for (auto &[Name, Run] : Vm.Assigned) {
     // The agent lists a stop until its outcome is reported.
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -81,17 +81,18 @@
   const auto &Step = *Request.Step;
   bool OutsidePreferredRack =
       !Step.PreferredRack.empty() && Vm.Rack != Step.PreferredRack;
+  // A run that is lost costs more than one on another rack.
+  bool Doubtful = isAvoided(Vm, Request) || Vm.History.isUnsteady(Now);
   if (Step.FillsIdleCpu)
-    return {isAvoided(Vm, Request), OutsidePreferredRack,
+    return {Doubtful, OutsidePreferredRack,
             // Rounded to tenths, so that imprecise estimates do not outweigh
             // idle processors.
             static_cast<std::int64_t>(expectedTail(Vm, Request, Now) * 10),
             -idleCpu(Vm)};
   if (Step.LongRunning)
-    return {isAvoided(Vm, Request), OutsidePreferredRack,
-            otherServingTasks(Vm, Step), Vm.free().Cpu.value()};
-  return {isAvoided(Vm, Request), OutsidePreferredRack, 0,
-          Vm.free().Cpu.value()};
+    return {Doubtful, OutsidePreferredRack, otherServingTasks(Vm, Step),
+            Vm.free().Cpu.value()};
+  return {Doubtful, OutsidePreferredRack, 0, Vm.free().Cpu.value()};
 }
 
 /// Runs that may be preempted, cheapest first: lowest priority, then those that
@@ -154,6 +155,8 @@
   // At most half of a service is lost with one VM.
   if (Step.LongRunning && siblingCount(Vm, Request) * 2 >= Step.Count + 1)
     return false;
+  if (Step.LongRunning && Vm.History.isFlapping(Now))
+    return false;
   return Now >= Vm.ProbationUntil || Vm.Assigned.empty();
 }
 
--- a/tests/runner/AgentSessionTest.cpp
+++ b/tests/runner/AgentSessionTest.cpp
@@ -286,3 +286,18 @@
   REQUIRE(Setup.Worker.Stops == 1);
   REQUIRE(Setup.Worker.Starts < 50);
 }
+
+// Guards against a leader that plans with the time that a draining worker had
+// left when it announced it.
+TEST_CASE("the time that a draining worker has left decreases") {
+  Fixture Setup;
+  Setup.Loop.runFor(Millis(200));
+  auto Announcement = Fixture::announcement("w", 1, 2);
+  Announcement.Worker.Draining = true;
+  Announcement.Worker.Remaining = Millis(3000);
+  Setup.Session.announce(Announcement);
+  Setup.follow(Millis(1000));
+  REQUIRE(Setup.Newest.Worker);
+  REQUIRE(Setup.Newest.Worker->Remaining > Millis(1000));
+  REQUIRE(Setup.Newest.Worker->Remaining < Millis(2300));
+}
