Doubt VMs whose worker goes silent and comes back in the same life

A new agent process whose first replies lack a worker is no loss.

Change: a worker that disappears from its agent's replies without having announced it counts as lost, with its cause in the log.

Result: the added test fails without the change of observeWorker().

--- a/include/daisyspool/scheduling/VmHistory.h
+++ b/include/daisyspool/scheduling/VmHistory.h
@@ -10,8 +10,8 @@
 /// What the leader has seen of the lives of a VM's workers.
 ///
 /// Load pattern: some workers go down and up again every second. After each
-/// return they are empty and look like the VMs with most room, so that the
-/// queue goes there and is lost with them.
+/// return they look like the VMs with most room, so that the queue goes there
+/// and is lost with them, or waits until they answer again.
 ///
 /// A new leader begins without a history: it sees the next loss of a flapping
 /// worker within its period, which is sooner than a stored row would be worth
@@ -20,7 +20,7 @@
 /// Thread safety: one thread at a time. Does no I/O.
 class VmHistory {
 public:
-  /// Records that the worker was lost without having announced that it leaves.
+  /// Records that the worker ended or went silent without having announced it.
   void recordLoss(TimePoint Now);
 
   /// Records that the VM has a worker again.
--- a/src/scheduling/SchedulerDrain.cpp
+++ b/src/scheduling/SchedulerDrain.cpp
@@ -28,12 +28,17 @@
   const auto &Known = Vm.Worker;
   bool HasWorker = Reply.Worker && !Reply.LeaseExpired;
   bool NewLife = HasWorker && Known && Known->Life != Reply.Worker->Life;
-  bool Lost = Known && !Known->Draining && (NewLife || Reply.LeaseExpired);
+  // A worker that goes silent and comes back in the same life has lost nothing,
+  // but starts and ends wait for it.
+  bool Lost = Known && !Known->Draining && (NewLife || !HasWorker);
   if (Lost) {
     Vm.History.recordLoss(Now);
     LogEvent(LogLevel::Info, "worker_lost")
         .with("vm", Vm.Id)
         .with("life", Known->Life)
+        .with("cause", NewLife              ? "new_life"
+                       : Reply.LeaseExpired ? "lease_expired"
+                                            : "silent")
         .with("runs", static_cast<std::int64_t>(Vm.Assigned.size()))
         .with("recent_losses", Vm.History.recentLosses());
   } else if (HasWorker && !Known) {
--- a/src/scheduling/SchedulerReplies.cpp
+++ b/src/scheduling/SchedulerReplies.cpp
@@ -66,6 +66,8 @@
     Vm.AgentIncarnation = Reply.AgentIncarnation;
     Vm.RefusalsApplied = 0;
     Vm.NewestStamp = 0;
+    // Its first replies may lack a worker that has not been lost.
+    Vm.Worker.reset();
     // A new agent process knows its worker's runs but not the orders sent.
     for (auto &[Name, Run] : Vm.Assigned)
       Run.SentInSync = Run.StopSentInSync = 0;
--- a/tests/scheduling/LeavingWorkersTest.cpp
+++ b/tests/scheduling/LeavingWorkersTest.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
+
 using namespace daisyspool;
 using namespace daisyspool::testing;
 using Fixture = daisyspool::testing::SchedulerFixture;
@@ -169,6 +171,19 @@
   REQUIRE(Setup.Subject.vm(VmId("vm0"))->Assigned.size() == 4);
 }
 
+// Load pattern: flapping workers. Guards against placing short tasks on a VM
+// whose worker does not answer half of the time.
+TEST_CASE("a VM whose worker was silent is used after the others") {
+  Fixture Setup(2);
+  auto Worker = std::exchange(Setup.Replies[VmId("vm0")].Worker, std::nullopt);
+  Setup.sendReplies();
+  Setup.Replies[VmId("vm0")].Worker = Worker;
+  Setup.sendReplies();
+  Setup.Subject.addJob(job("short", 4, 1000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  REQUIRE(Setup.Subject.vm(VmId("vm1"))->Assigned.size() == 4);
+}
+
 // Load pattern: flapping workers. Guards against starting a service where it is
 // lost again at once, and against never trusting the VM again.
 TEST_CASE("a service's task is not placed on a flapping VM") {
