Add an order of jobs by what delay costs callers, off by default

Urgent work of no use any more goes before useful batch and preempts it, the largest jobs of a queue may never be served under a flood, nothing bounds a wait, and no caller is told that its job cannot be served in time.

Change: a module `overload` without I/O decides the regime, the order and the refusals; the leader applies the order and publishes the expected waits in an optional field of its status, from which entries refuse. A job that is stored is not refused. `[overload] order = cost` switches it on.

--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -54,6 +54,10 @@
 
   /// The newest leader status that this process knows.
   const LeaderStatus &status() const { return Status; }
+  /// Time since this process received it.
+  Millis statusAge() const {
+    return std::chrono::duration_cast<Millis>(Time.now() - StatusReceivedAt);
+  }
   bool isLeading() const { return OwnIdentity.has_value(); }
 
   /// How late this process handles its events, averaged.
--- a/include/daisyspool/leadership/LeaderRecord.h
+++ b/include/daisyspool/leadership/LeaderRecord.h
@@ -3,6 +3,7 @@
 
 #include "daisyspool/core/Ids.h"
 #include "daisyspool/core/Units.h"
+#include "daisyspool/overload/RoomEstimate.h"
 #include "daisyspool/workload/JobDefinition.h"
 
 #include <cstdint>
@@ -44,6 +45,9 @@
   MilliCores Processors;
   /// The leader does not keep up; a larger entry should take over.
   bool Overloaded = false;
+  /// How long new jobs wait at least; empty while there is room, and in the
+  /// status of an older version.
+  overload::RoomEstimate Room;
 };
 
 /// Serialize and parse the two rows. Errors: parsing throws ProtocolError.
--- a/include/daisyspool/scheduling/JobProgress.h
+++ b/include/daisyspool/scheduling/JobProgress.h
@@ -102,6 +102,12 @@
   /// process's clock.
   TimePoint Arrival{};
   TimePoint TargetCompletion{};
+  /// When it was accepted: how long it could wait and still be in time, and the
+  /// work of all its tasks.
+  Millis InitialSlack{0};
+  std::int64_t InitialWork = 0;
+  /// The job preempts no other.
+  bool Yields = false;
   /// Number of tasks with a run, and when a started run last ended.
   std::uint32_t AssignedTasks = 0;
   TimePoint IdleSince{};
--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -1,6 +1,7 @@
 #ifndef DAISYSPOOL_SCHEDULING_SCHEDULER_H
 #define DAISYSPOOL_SCHEDULING_SCHEDULER_H
 
+#include "daisyspool/overload/overload.h"
 #include "daisyspool/scheduling/JobProgress.h"
 #include "daisyspool/scheduling/VmChoice.h"
 #include "daisyspool/scheduling/VmState.h"
@@ -49,6 +50,8 @@
     Millis StarvedAfterInBusyFleet{8000};
     /// The largest row that the store accepts.
     std::size_t RowBytes = 65536;
+    /// In which order waiting jobs get room.
+    overload::JobOrder Order = overload::JobOrder::Work;
   };
 
   /// Represents all transactions of earlier leaders; own ones have higher
@@ -71,7 +74,7 @@
     std::size_t Bytes = 900'000;
   };
 
-  explicit Scheduler(Options Config) : Config(Config) {}
+  explicit Scheduler(Options Config) : Config(Config), Order(Config.Order) {}
   Scheduler(const Scheduler &) = delete;
   Scheduler &operator=(const Scheduler &) = delete;
 
@@ -164,6 +167,10 @@
   /// has not started before a worker lists it.
   std::map<workload::QueueId, std::uint32_t> pending() const;
 
+  /// How long jobs that are submitted now wait at least; empty while there is
+  /// room for all, and if the order is not JobOrder::Cost.
+  overload::RoomEstimate roomEstimate(TimePoint Now) const;
+
   const JobProgress *job(const JobId &Id) const;
   const VmState *vm(const VmId &Id) const;
   std::size_t jobCount() const { return Jobs.size(); }
@@ -228,6 +235,9 @@
   /// Returns whether all were added.
   bool addDueOccurrences(JobProgress &Job, WallMillis Wall,
                          std::uint64_t &TasksLeft);
+  std::vector<overload::JobDemand> demands() const;
+  /// The room of the VMs that take tasks at all.
+  overload::Room room(TimePoint Now) const;
   std::vector<JobProgress *> scheduleOrder(TimePoint Now);
   void placeJob(JobProgress &Job, TimePoint Now);
   /// Place the waiting tasks of a step. Return false if a task found no VM.
@@ -279,6 +289,9 @@
   std::map<std::pair<ServiceId, workload::ImageId>, MilliCores>
       BlockedBestEffortCpu;
   TailModel Tails;
+  overload::OverloadOrder Order;
+  /// A task has found no VM since the order was last decided.
+  bool TaskWithoutVm = false;
   TimePoint LastSchedule{};
   /// Number of tasks that the current pass may still assign.
   std::size_t PlacementsLeft = 0;
@@ -292,6 +305,25 @@
   CommitNumber NewestTaken = RestoredCommit;
 };
 
+/// Computes the target, the slack and the work of an accepted job that has not
+/// begun.
+///
+/// Thread safety: safe from any thread.
+void setTargets(JobProgress &Job);
+
+/// What the order of jobs depends on; refers to \p Job.
+///
+/// Thread safety: safe from any thread.
+overload::JobDemand demandOf(const JobProgress &Job);
+
+/// Refuses a submitted job as overload::refuse() does. Precondition: the job is
+/// valid and has not been stored.
+///
+/// Thread safety: safe from any thread.
+std::optional<overload::Refusal>
+refuseSubmission(const workload::JobRecord &Record,
+                 const overload::RoomEstimate &Estimate, Millis Age);
+
 } // namespace daisyspool::scheduling
 
 #endif // DAISYSPOOL_SCHEDULING_SCHEDULER_H
--- a/include/daisyspool/scheduling/VmChoice.h
+++ b/include/daisyspool/scheduling/VmChoice.h
@@ -11,6 +11,9 @@
 
 namespace daisyspool::scheduling {
 
+/// Assumed share of a service's processors that is in use.
+inline constexpr std::int64_t ServingCpuUsePercent = 50;
+
 /// The placement requirements of one task.
 struct VmRequest {
   const workload::StepDefinition *Step = nullptr;
--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -35,6 +35,9 @@
   Millis StopTimeout{400};
   /// The share of processors that this process may use.
   MilliCores Processors{1000};
+  /// What costs callers least waits when there is too little room, and what
+  /// can no longer be served in time is refused.
+  bool OrderByCost = false;
   std::string LogLevel = "info";
 };
 
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -136,6 +136,8 @@
   // Until all progress is read, jobs that have begun would be counted as well.
   Result.Pending =
       Leadership->Loaded ? Leadership->JobScheduler.pending() : Status.Pending;
+  if (Leadership->Loaded)
+    Result.Room = Leadership->JobScheduler.roomEstimate(Time.now());
   return Result;
 }
 
--- a/src/leadership/LeaderRecord.cpp
+++ b/src/leadership/LeaderRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "daisyspool/core/Errors.h"
 #include "daisyspool/wire/Document.h"
+#include "daisyspool/workload/Limits.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,6 +16,8 @@
 /// Number of fields in the status of a version that does not name the leader's
 /// processors.
 constexpr std::size_t FieldsWithoutProcessors = 3;
+/// Number of fields in a status that says nothing about the room.
+constexpr std::size_t FieldsWithoutRoom = 5;
 /// Upper limit for stored millicores.
 constexpr std::int64_t MaxProcessors = 1'000'000;
 
@@ -29,6 +32,34 @@
           Incarnation(wholeNumber<std::uint64_t>(Value.at(2)))};
 }
 
+json toJson(const overload::RoomEstimate &Room) {
+  json Result = json::array();
+  for (const auto &[Queue, Steps] : Room.Waits) {
+    json Rows = json::array();
+    for (const overload::WaitStep &Step : Steps)
+      Rows.push_back(
+          json::array({Step.Work, Step.InTimeWait.count(), Step.Wait.count()}));
+    Result.push_back(json::array({Queue.str(), std::move(Rows)}));
+  }
+  return Result;
+}
+
+Millis waitFromJson(const json &Value) {
+  return Millis(wholeNumber(Value, 0, workload::MaxDurationMillis));
+}
+
+overload::RoomEstimate roomFromJson(const json &Value) {
+  overload::RoomEstimate Result;
+  for (const json &Queue : Value) {
+    auto &Steps =
+        Result.Waits[workload::QueueId(Queue.at(0).get<std::string>())];
+    for (const json &Row : Queue.at(1))
+      Steps.push_back({wholeNumber<std::int64_t>(Row.at(0)),
+                       waitFromJson(Row.at(1)), waitFromJson(Row.at(2))});
+  }
+  return Result;
+}
+
 std::string pack(const json &Value) {
   auto Bytes = json::to_msgpack(Value);
   return {Bytes.begin(), Bytes.end()};
@@ -54,8 +85,12 @@
   json Pending = json::array();
   for (const auto &[Queue, Count] : Row.Pending)
     Pending.push_back(json::array({Queue.str(), Count}));
-  return pack(json::array({toJson(Row.Leader), Row.Released, std::move(Pending),
-                           Row.Processors.value(), Row.Overloaded}));
+  json Result =
+      json::array({toJson(Row.Leader), Row.Released, std::move(Pending),
+                   Row.Processors.value(), Row.Overloaded});
+  if (!Row.Room.Waits.empty())
+    Result.push_back(toJson(Row.Room));
+  return pack(Result);
 }
 
 LeaderStatus decodeLeaderStatus(std::string_view Bytes) {
@@ -72,6 +107,8 @@
           MilliCores(wholeNumber(Value.at(3), 0, MaxProcessors));
       Status.Overloaded = Value.at(4);
     }
+    if (Value.size() > FieldsWithoutRoom)
+      Status.Room = roomFromJson(Value.at(FieldsWithoutRoom));
     return Status;
   } catch (const json::exception &Problem) {
     throw ProtocolError(std::string("leader row: ") + Problem.what());
--- a/src/scheduling/Scheduler.cpp
+++ b/src/scheduling/Scheduler.cpp
@@ -3,38 +3,17 @@
 #include "daisyspool/telemetry/Log.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace daisyspool::scheduling {
 
 namespace {
 
-/// 0 if the job can still complete on time, 1 if late but useful, else 2. A
-/// result is worth something to the caller up to three times the target time.
-int latenessClass(const JobProgress &Job, TimePoint Now) {
-  constexpr int UsefulFactor = 3;
-  TimePoint Finish = Now + Job.RemainingCriticalPath;
-  if (Finish <= Job.TargetCompletion)
-    return 0;
-
-  return Finish <= Job.Arrival +
-                       UsefulFactor * (Job.TargetCompletion - Job.Arrival)
-             ? 1
-             : 2;
-}
-
 /// Limits of one scheduling pass, which holds the leader's event loop: an entry
 /// of 0.07 of a core must still renew its status every half second. A pass of
 /// 1,000 placements took 1 ms of processor time on a machine with x86-64.
 constexpr std::size_t MaxPlacements = 1000;
 constexpr std::uint64_t MaxDueTasks = 1000;
 
-bool hasLongRunningStep(const JobProgress &Job) {
-  const auto &Steps = Job.Record.Definition.Steps;
-  return std::any_of(Steps.begin(), Steps.end(),
-                     [](const auto &Step) { return Step.LongRunning; });
-}
-
 } // namespace
 
 void Scheduler::addJob(const workload::JobRecord &Record, Millis Age,
@@ -56,11 +35,8 @@
     updateDerivedFields(Job);
   Job.Arrival = Now - std::max(Age, Millis(0));
   Job.IdleSince = Now;
-  auto CriticalPath = Job.RemainingCriticalPath.count();
-  Job.TargetCompletion =
-      Job.Arrival + Record.Policy.LatencyTarget +
-      Millis(static_cast<std::int64_t>(static_cast<double>(CriticalPath) *
-                                       Record.Policy.SlackFactor));
+  setTargets(Job);
+  Order.observe(Record.Policy.Name, Job.InitialWork);
   UnfinishedJobs.emplace(Record.Id, &Job);
   LogEvent(LogLevel::Info, "job_known")
       .with("job", Record.Id)
@@ -259,33 +235,6 @@
   }
 }
 
-std::vector<JobProgress *> Scheduler::scheduleOrder(TimePoint Now) {
-  // Load pattern: services lose tasks while short tasks of their class queue
-  // up. Users cannot reach a service until it runs again, so it goes first.
-  //
-  // Load pattern: a burst of batch far beyond the fleet. In order of deadlines
-  // all jobs would be late; with the least remaining work first, most are on
-  // time.
-  using Key = std::tuple<int, bool, int, std::int64_t>;
-  std::vector<std::pair<Key, JobProgress *>> Ordered;
-  for (auto &[Id, Job] : UnfinishedJobs)
-    if (Job->ReadyTasks > 0)
-      Ordered.emplace_back(Key{Job->Record.Policy.Priority,
-                               !hasLongRunningStep(*Job),
-                               latenessClass(*Job, Now), Job->RemainingWork},
-                           Job);
-  // Ties keep the order of ids, so that a recorded day can be replayed.
-  std::stable_sort(
-      Ordered.begin(), Ordered.end(),
-      [](const auto &A, const auto &B) { return A.first < B.first; });
-  std::vector<JobProgress *> Result;
-  Result.reserve(Ordered.size());
-  for (auto &Each : Ordered)
-    Result.push_back(Each.second);
-
-  return Result;
-}
-
 void Scheduler::schedule(TimePoint Now, WallMillis Wall) {
   LastSchedule = Now;
   FleetUnderHalfHeld = isFleetUnderHalfHeld();
--- a/src/scheduling/SchedulerPlacement.cpp
+++ b/src/scheduling/SchedulerPlacement.cpp
@@ -95,8 +95,10 @@
                       &SiblingsByVm,
                       &Tails,
                       isStarved(Job, Now)};
-    if (isBlocked(Request))
+    if (isBlocked(Request)) {
+      TaskWithoutVm = true;
       return false;
+    }
     VmState *Vm = chooseVm(VmList, Request, Now);
     // Load pattern: a full fleet, or failing jobs that put all VMs on
     // probation. A service on a doubtful VM is better than none.
@@ -106,6 +108,7 @@
       Vm = chooseVm(VmList, Request, Now);
     }
     if (!Vm) {
+      TaskWithoutVm = true;
       recordBlocked(Request);
       preemptFor(Job, Request, Now);
       if (VmState *Candidate = chooseReservation(VmList, Request, Now))
@@ -155,6 +158,7 @@
   for (auto &[Name, Vm] : Placed)
     Vm->release(Name);
   if (Placed.size() < Tasks.size()) {
+    TaskWithoutVm = true;
     Tasks.front().NotBefore = Now + Config.RetryDelay;
     return false;
   }
@@ -239,7 +243,7 @@
 void Scheduler::preemptFor(const JobProgress &Job, const VmRequest &Request,
                            TimePoint Now) {
   // Only the highest priority class preempts.
-  if (Job.Record.Policy.Priority != 0)
+  if (Job.Record.Policy.Priority != 0 || Job.Yields)
     return;
 
   Preemption Chosen = choosePreemption(
--- a/src/scheduling/VmChoice.cpp
+++ b/src/scheduling/VmChoice.cpp
@@ -11,9 +11,6 @@
 /// Scheduler::Options::SyncWait.
 constexpr Millis MaxSilence{1500};
 
-/// Assumed share of a service's processors that is in use.
-constexpr std::int64_t ServingCpuUsePercent = 50;
-
 /// No best-effort task is added where a service's expected tail exceeds this
 /// ratio to its target. Below the ratio at which an agent lets the pace rise,
 /// as the task would otherwise be slowed down at once and stay slow.
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -69,6 +69,13 @@
       std::max<std::int64_t>(1, std::llround(Share * Cores * 1000)));
 }
 
+bool isOrderedByCost(IniFile &File) {
+  std::string Order = File.textOr("overload", "order", "work");
+  if (Order != "work" && Order != "cost")
+    File.fail("overload", "order", "work or cost");
+  return Order == "cost";
+}
+
 } // namespace
 
 NodeSettings parseNodeSettings(IniFile File) {
@@ -89,6 +96,7 @@
   Result.StopTimeout =
       millisecondsOr(File, "bounds", "stop_timeout_ms", Result.StopTimeout);
   Result.Processors = processors(File);
+  Result.OrderByCost = isOrderedByCost(File);
   File.rejectUnread();
   return Result;
 }
--- a/tests/leadership/LeaderRecordTest.cpp
+++ b/tests/leadership/LeaderRecordTest.cpp
@@ -67,3 +67,20 @@
   REQUIRE(Read.Processors == MilliCores(0));
   REQUIRE_FALSE(Read.Overloaded);
 }
+
+// Guards against entries that cannot read the status of a leader that says
+// nothing about its room, or of one that does.
+TEST_CASE("the waits for room are an optional part of the status") {
+  LeaderStatus Status;
+  Status.Leader = Identity;
+  std::string Without = encode(Status);
+  REQUIRE(nlohmann::json::from_msgpack(Without).size() == 5);
+  REQUIRE(decodeLeaderStatus(Without).Room.Waits.empty());
+  Status.Room.Waits[workload::QueueId("q")] = {{1000, Millis(20), Millis(30)},
+                                               {5000, Millis(40), Millis(50)}};
+  std::string With = encode(Status);
+  REQUIRE(decodeLeaderStatus(With).Room == Status.Room);
+  REQUIRE_THROWS_AS(
+      decodeLeaderStatus(testing::withElement(With, "/5/0/1/0/1", -1)),
+      ProtocolError);
+}
--- a/tests/platform_adapter/CallerRequestHandlerTest.cpp
+++ b/tests/platform_adapter/CallerRequestHandlerTest.cpp
@@ -67,3 +67,49 @@
   REQUIRE(TooLarge.Status == 400);
   REQUIRE(TooLarge.Body.find("at most 65536") != std::string::npos);
 }
+
+// Guards against a refusal of a job that an earlier submission has stored: it
+// would run although its caller was told that it never does.
+TEST_CASE("a job is refused for want of room unless it is stored") {
+  VirtualFleet Fleet(41, 1, 1);
+  Metrics ProcessMetrics;
+  auto &Entry = *Fleet.Entries[0];
+  CallerRequestHandler Handler(Fleet.Loop, Entry.Intake, Entry.Leader,
+                               ProcessMetrics);
+  workload::FleetConfig Config;
+  Config.Routes = {{"h", "/q/", {workload::QueueId("q"), {}, 0, 1, 1, {}}}};
+  Handler.configure(Config);
+  auto Submit = [&](const std::string &Id, Millis RunFor) {
+    auto Exchange = std::make_shared<StoredExchange>();
+    Handler.serve({"POST",
+                   "/q/" + Id,
+                   {{"Host", "h"}},
+                   R"({"steps":[{"count":1,"cpu":1000,"estimated_ms":100}]})"},
+                  Exchange);
+    Fleet.Loop.runFor(RunFor);
+    return Exchange->Answer;
+  };
+  REQUIRE(Submit("5c0e7a21d94b36f8", Millis(3000)).Status == 200);
+  // The leader rewrites its status each half second.
+  auto PublishWait = [&] {
+    leadership::LeaderStatus Status = Entry.Leader.status();
+    Status.Room.Waits[workload::QueueId("q")] = {
+        {0, Millis(20000), Millis(20000)}};
+    rows::RowTransaction Write;
+    Write.Puts.push_back({intake::leaderRow(), leadership::encode(Status)});
+    Fleet.Store.apply(Write);
+    Fleet.Loop.runFor(Millis(20));
+    REQUIRE_FALSE(Entry.Leader.status().Room.Waits.empty());
+  };
+  PublishWait();
+  REQUIRE(Submit("5c0e7a21d94b36f8", Millis(100)).Status == 200);
+  PublishWait();
+  http::Response Refused = Submit("6c0e7a21d94b36f8", Millis(100));
+  REQUIRE(Refused.Status == 503);
+  auto RetryAfter = http::findHeader(Refused.Headers, "Retry-After");
+  REQUIRE(RetryAfter);
+  REQUIRE(std::stoi(std::string(*RetryAfter)) >= 19);
+  // The leader's next status has room again.
+  Fleet.Loop.runFor(Millis(1000));
+  REQUIRE(Submit("6c0e7a21d94b36f8", Millis(1000)).Status == 200);
+}
--- a/tests/scheduling/SchedulerFixture.h
+++ b/tests/scheduling/SchedulerFixture.h
@@ -52,12 +52,14 @@
 
 /// A scheduler with agents whose replies the test sets.
 struct SchedulerFixture {
-  Scheduler Subject{Scheduler::Options{}};
+  Scheduler Subject;
   TimePoint Now = Start;
   std::uint64_t Commits = Scheduler::RestoredCommit.value();
   std::map<VmId, runner::SyncReply> Replies;
 
-  explicit SchedulerFixture(std::size_t VmCount, std::int64_t Cpu = 8000) {
+  explicit SchedulerFixture(std::size_t VmCount, std::int64_t Cpu = 8000,
+                            Scheduler::Options Config = {})
+      : Subject(Config) {
     for (std::size_t I = 0; I < VmCount; ++I) {
       VmId Vm("vm" + std::to_string(I));
       Subject.addVm(Vm, Now);
--- a/tests/settings/NodeSettingsTest.cpp
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -55,3 +55,12 @@
         SettingsError);
   }
 }
+
+// Guards against a misspelt order that is taken for the default.
+TEST_CASE("a node's order of jobs is work or cost") {
+  REQUIRE_FALSE(settingsWith("").OrderByCost);
+  REQUIRE(settingsWith("", "[overload]\norder = cost\n").OrderByCost);
+  REQUIRE_FALSE(settingsWith("", "[overload]\norder = work\n").OrderByCost);
+  REQUIRE_THROWS_AS(settingsWith("", "[overload]\norder = costs\n"),
+                    SettingsError);
+}
