--- a/include/daisyspool/scheduling/Scheduler.h
+++ b/include/daisyspool/scheduling/Scheduler.h
@@ -1,6 +1,7 @@
 #ifndef DAISYSPOOL_SCHEDULING_SCHEDULER_H
 #define DAISYSPOOL_SCHEDULING_SCHEDULER_H
 
+#include "daisyspool/overload/overload.h"
 #include "daisyspool/scheduling/Evacuation.h"
 #include "daisyspool/scheduling/JobProgress.h"
 #include "daisyspool/scheduling/VmChoice.h"
@@ -50,6 +51,8 @@
     Millis StarvedAfterInBusyFleet{8000};
     /// The largest row that the store accepts.
     std::size_t RowBytes = 65536;
+    /// In which order waiting jobs get room.
+    overload::JobOrder Order = overload::JobOrder::Work;
   };
 
   /// Represents all transactions of earlier leaders; own ones have higher
@@ -72,7 +75,7 @@
     std::size_t Bytes = 900'000;
   };
 
-  explicit Scheduler(Options Config) : Config(Config) {}
+  explicit Scheduler(Options Config) : Config(Config), Order(Config.Order) {}
   Scheduler(const Scheduler &) = delete;
   Scheduler &operator=(const Scheduler &) = delete;
 
@@ -181,6 +184,9 @@
     std::size_t Unsteady = 0;
   };
   WorkerSummary workerSummary(TimePoint Now) const;
+  /// How long jobs that are submitted now wait at least; empty while there is
+  /// room for all, and if the order is not JobOrder::Cost.
+  overload::RoomEstimate roomEstimate(TimePoint Now) const;
 
   const JobProgress *job(const JobId &Id) const;
   const VmState *vm(const VmId &Id) const;
@@ -268,6 +274,9 @@
   /// Returns whether all were added.
   bool addDueOccurrences(JobProgress &Job, WallMillis Wall,
                          std::uint64_t &TasksLeft);
+  std::vector<overload::JobDemand> demands() const;
+  /// The room of the VMs that take tasks at all.
+  overload::Room room(TimePoint Now) const;
   std::vector<JobProgress *> scheduleOrder(TimePoint Now);
   void placeJob(JobProgress &Job, TimePoint Now);
   /// Place the waiting tasks of a step. Return false if a task found no VM.
@@ -329,6 +338,9 @@
   };
   std::map<TaskName, Move> ReservedForMoves;
   TimePoint LastLeavingPlan{};
+  overload::OverloadOrder Order;
+  /// A task has found no VM since the order was last decided.
+  bool TaskWithoutVm = false;
   TimePoint LastSchedule{};
   /// Number of tasks that the current pass may still assign.
   std::size_t PlacementsLeft = 0;
@@ -342,6 +354,25 @@
   CommitNumber NewestTaken = RestoredCommit;
 };
 
+/// Computes the target, the slack and the work of an accepted job that has not
+/// begun.
+///
+/// Thread safety: safe from any thread.
+void setTargets(JobProgress &Job);
+
+/// What the order of jobs depends on; refers to \p Job.
+///
+/// Thread safety: safe from any thread.
+overload::JobDemand demandOf(const JobProgress &Job);
+
+/// Refuses a submitted job as overload::refuse() does. Precondition: the job is
+/// valid and has not been stored.
+///
+/// Thread safety: safe from any thread.
+std::optional<overload::Refusal>
+refuseSubmission(const workload::JobRecord &Record,
+                 const overload::RoomEstimate &Estimate, Millis Age);
+
 } // namespace daisyspool::scheduling
 
 #endif // DAISYSPOOL_SCHEDULING_SCHEDULER_H
--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -38,6 +38,9 @@
   Millis EvacuationBound{0};
   /// The share of processors that this process may use.
   MilliCores Processors{1000};
+  /// What costs callers least waits when there is too little room, and what
+  /// can no longer be served in time is refused.
+  bool OrderByCost = false;
   std::string LogLevel = "info";
 };
 
