--- a/tests/scheduling/OverloadOrderTest.cpp
+++ b/tests/scheduling/OverloadOrderTest.cpp
@@ -279,4 +279,8 @@
   // While it is in time, only jobs in time go before it.
   Steps[0].InTimeWait = Millis(900);
   REQUIRE_FALSE(overload::refuse(Job, Estimate, Millis(0)));
+  // Nothing is known about jobs smaller than those that wait.
+  Steps[0].InTimeWait = Millis(5500);
+  Job.RemainingWork = 500'000;
+  REQUIRE_FALSE(overload::refuse(Job, Estimate, Millis(0)));
 }
