--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -35,6 +35,10 @@
   Millis StopTimeout{400};
   /// The share of processors that this process may use.
   MilliCores Processors{1000};
+  /// The memory above which the platform ends this process.
+  MebiBytes Memory{128};
+  /// The descriptors that this process may have open.
+  std::size_t FileDescriptors = 4096;
   std::string LogLevel = "info";
 };
 
--- a/soak/SoakProcess.h
+++ b/soak/SoakProcess.h
@@ -64,6 +64,9 @@
     ::kill(Pid, Number);
   }
 
+  /// The id of the process, or 0 if it does not run.
+  pid_t id() const { return Pid; }
+
   /// Whether the process exists, also if it is suspended by SIGSTOP.
   bool running() {
     if (Pid <= 0)
--- a/src/settings/NodeSettings.cpp
+++ b/src/settings/NodeSettings.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// An idle process takes 12 MB.
+constexpr std::int64_t MinMebiBytes = 32;
+/// 200 are kept for files; the rest carries connections.
+constexpr std::int64_t MinDescriptors = 256;
+
 std::optional<http::Endpoint> optionalEndpoint(IniFile &File,
                                                std::string_view Section,
                                                std::string_view Key) {
@@ -69,6 +74,17 @@
       std::max<std::int64_t>(1, std::llround(Share * Cores * 1000)));
 }
 
+/// The whole number of at least \p Min at a key, or \p Default without a value.
+std::int64_t capacityOr(IniFile &File, std::string_view Key,
+                        std::int64_t Default, std::int64_t Min) {
+  constexpr std::int64_t Max = 100'000'000;
+  double Value = positiveNumberOr(File, "capacity", Key,
+                                  static_cast<double>(Default), Max);
+  if (Value < static_cast<double>(Min))
+    File.fail("capacity", Key, "at least " + std::to_string(Min));
+  return static_cast<std::int64_t>(Value);
+}
+
 } // namespace
 
 NodeSettings parseNodeSettings(IniFile File) {
@@ -89,6 +105,11 @@
   Result.StopTimeout =
       millisecondsOr(File, "bounds", "stop_timeout_ms", Result.StopTimeout);
   Result.Processors = processors(File);
+  Result.Memory = MebiBytes(
+      capacityOr(File, "memory_mb", Result.Memory.value(), MinMebiBytes));
+  Result.FileDescriptors = static_cast<std::size_t>(capacityOr(
+      File, "file_descriptors",
+      static_cast<std::int64_t>(Result.FileDescriptors), MinDescriptors));
   File.rejectUnread();
   return Result;
 }
--- a/tests/settings/NodeSettingsTest.cpp
+++ b/tests/settings/NodeSettingsTest.cpp
@@ -55,3 +55,18 @@
         SettingsError);
   }
 }
+
+// Guards against limits of connections that follow another machine's memory or
+// descriptors, and against a machine that no process fits in.
+TEST_CASE("a node reads the memory and descriptors of its machine") {
+  REQUIRE(settingsWith("").Memory == MebiBytes(128));
+  REQUIRE(settingsWith("").FileDescriptors == 4096);
+  REQUIRE(settingsWith("memory_mb = 260\n").Memory == MebiBytes(260));
+  REQUIRE(settingsWith("file_descriptors = 300\n").FileDescriptors == 300);
+  for (const char *Wrong :
+       {"memory_mb = 31\n", "memory_mb = much\n", "file_descriptors = 255\n",
+        "file_descriptors = 1e30\n"}) {
+    INFO(Wrong);
+    REQUIRE_THROWS_AS(settingsWith(Wrong), SettingsError);
+  }
+}
