Bound the memory and descriptors that clients take

Cause: a connection's body, header lines, trailers, chunk extensions and pipelined requests were bounded one by one or not at all, and nothing bounded their sum. Beast checks its header limit for each line, not for the header, and keeps trailers without end in the read buffer.

InboundBudget accounts for what the connections of all ports of a process hold, with limits derived from the memory and descriptors of its machine, and decides which connection is admitted, refused or closed. RequestReader bounds each part of a request before it is stored, takes memory as a body arrives and applies max_body_bytes of the configuration. Bytes behind a request in progress are read, up to 16 KiB. Refusals are sent before the handler sees a request; 413 names the limit.

A RapidCheck test found that the parser of Boost 1.74 asserts, which ends the process, when the end of a chunked body arrives in two pieces; the reader waits for five bytes. New crowd tests cover this and header lines without end.

--- a/include/daisyspool/http/Server.h
+++ b/include/daisyspool/http/Server.h
@@ -2,6 +2,7 @@
 #define DAISYSPOOL_HTTP_SERVER_H
 
 #include "daisyspool/core/Clock.h"
+#include "daisyspool/http/InboundBudget.h"
 #include "daisyspool/http/Types.h"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +63,12 @@
     std::size_t MaxBodyBytes = 4 * 1024 * 1024;
     std::size_t MaxConnections = 4096;
     std::size_t StreamBufferBytes = 1024 * 1024;
+    /// Bytes that the kernel may hold for a connection before they are read; 0
+    /// leaves this to the kernel.
+    int ReceiveBufferBytes = 0;
+    /// The memory and descriptors of the process's connections. Without one the
+    /// server has the default limits for itself.
+    std::shared_ptr<InboundBudget> Budget = nullptr;
     /// Time limit to receive a whole request after its first byte, and to send
     /// an answer or a chunk.
     Millis TransferTimeout{10000};
@@ -70,7 +77,13 @@
   };
 
   /// Why a request or connection was refused without calling the handler.
-  enum class BadInput { Malformed, TooLarge, TooSlow, TooManyConnections };
+  enum class BadInput {
+    Malformed,
+    TooLarge,
+    TooSlow,
+    TooManyConnections,
+    NoMemory
+  };
 
   using Handler = std::function<void(Request, std::shared_ptr<Exchange>)>;
   using BadInputHandler = std::function<void(BadInput)>;
@@ -90,6 +103,10 @@
   /// closes idle connections, then calls \p Done.
   void drain(std::function<void()> Done);
 
+  /// Refuses bodies above \p Bytes from the next request of each connection on.
+  /// The memory of one connection may set a lower limit.
+  void limitBody(std::size_t Bytes);
+
   /// Number of exchanges that are not completely answered.
   std::size_t inFlight() const;
 
--- a/include/daisyspool/http/http.h
+++ b/include/daisyspool/http/http.h
@@ -4,6 +4,7 @@
 //
 //   Types.h    requests, responses, endpoints, problem documents
 //   Server.h   accepts connections and passes requests to a handler
+//   InboundBudget.h  limits of the memory and descriptors of connections
 //   Client.h   keep-alive client with timeouts, asynchronous or blocking
 //
 // See Server.h next.
@@ -11,6 +12,7 @@
 #define DAISYSPOOL_HTTP_HTTP_H
 
 #include "daisyspool/http/Client.h"
+#include "daisyspool/http/InboundBudget.h"
 #include "daisyspool/http/Server.h"
 #include "daisyspool/http/Types.h"
 
--- a/src/entry/CallerPort.cpp
+++ b/src/entry/CallerPort.cpp
@@ -26,6 +26,8 @@
     return "too-slow";
   case http::Server::BadInput::TooManyConnections:
     return "too-many-connections";
+  case http::Server::BadInput::NoMemory:
+    return "no-memory";
   }
   return "malformed";
 }
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Bounds a header, a chunk extension or trailers of an answer.
+constexpr std::size_t MaxBufferBytes = 64 * 1024;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 std::exception_ptr makeError(ClientError::Kind Reason,
@@ -28,6 +31,7 @@
 public:
   ClientConnection(asio::io_context &Io, const Client::Options &Config)
       : Stream(Io), Config(Config) {
+    Buffer.max_size(MaxBufferBytes);
     Buffer.reserve(ReadBufferBytes);
   }
 
--- a/src/http/Connection.cpp
+++ b/src/http/Connection.cpp
@@ -3,7 +3,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 
+#include <algorithm>
 #include <cassert>
+#include <chrono>
 
 namespace daisyspool::http {
 
@@ -52,81 +54,149 @@
   bool Answered = false;
 };
 
+/// How long a refused caller may take to read the refusal.
+constexpr Millis DiscardTime{1000};
+
+constexpr std::size_t MaxDiscardedBytes = 1024 * 1024;
+
+TimePoint now() {
+  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
+}
+
 } // namespace
 
 Connection::Connection(asio::ip::tcp::socket Socket,
                        std::shared_ptr<ConnectionOwner> Owner)
-    : Stream(std::move(Socket)), Owner(std::move(Owner)) {
-  Buffer.reserve(ReadBufferBytes);
+    : Stream(std::move(Socket)), Owner(std::move(Owner)),
+      Reader({this->Owner->options().MaxHeaderBytes,
+              this->Owner->options().MaxBodyBytes}) {}
+
+bool Connection::start() {
+  Share = Owner->budget().open(
+      [Self = weak_from_this()](InboundEvent) {
+        if (auto Open = Self.lock())
+          Open->close();
+      },
+      now());
+  if (!Share)
+    return false;
+  readNext();
+  return true;
 }
 
 void Connection::readNext() {
-  Parser.emplace();
-  Parser->header_limit(
-      static_cast<std::uint32_t>(Owner->options().MaxHeaderBytes));
-  Parser->body_limit(Owner->options().MaxBodyBytes);
+  Reader.limitBody(Owner->options().MaxBodyBytes);
+  Reader.startNext();
+  Share->idle(now());
   Stream.expires_after(Owner->options().IdleTimeout);
+  // A request may have arrived behind the previous one.
+  if (Reader.hasBytes()) {
+    RequestDeadline = now() + Owner->options().TransferTimeout;
+    return parse(0);
+  }
+  readMore();
+}
 
-  // The idle timeout applies until the first byte. The rest of the request must
-  // arrive within the transfer timeout, so that a slow sender cannot occupy the
-  // connection.
-  beast::http::async_read_some(
-      Stream, Buffer, *Parser,
+void Connection::readMore() {
+  Stream.async_read_some(
+      Reader.prepare(),
       [Self = shared_from_this()](boost::system::error_code Failure,
-                                  std::size_t) {
-        if (Failure || Self->Parser->is_done()) {
-          Self->onRead(Failure);
-          return;
-        }
-        Self->Stream.expires_after(Self->Owner->options().TransferTimeout);
-        beast::http::async_read(
-            Self->Stream, Self->Buffer, *Self->Parser,
-            [Self](boost::system::error_code ReadFailure, std::size_t) {
-              Self->onRead(ReadFailure);
-            });
+                                  std::size_t Count) {
+        Self->onRead(Failure, Count);
       });
 }
 
-void Connection::onRead(boost::system::error_code Failure) {
-  namespace http_error = beast::http;
-  if (Failure == http_error::error::end_of_stream ||
-      Failure == asio::error::operation_aborted ||
-      Failure == asio::error::connection_reset)
-    return close();
-  if (Failure == beast::error::timeout) {
-    if (Parser->got_some())
-      Owner->onBadInput(Server::BadInput::TooSlow);
-    return close();
-  }
-  if (Failure == http_error::error::body_limit ||
-      Failure == http_error::error::header_limit)
-    return refuse(Server::BadInput::TooLarge, 413);
+void Connection::onRead(boost::system::error_code Failure, std::size_t Count) {
+  if (Closed)
+    return;
   if (Failure)
-    return refuse(Server::BadInput::Malformed, 400);
+    return onReadFailed(Failure);
+  if (!Reader.started())
+    RequestDeadline = now() + Owner->options().TransferTimeout;
+  Reader.commit(Count);
+  parse(Count);
+}
 
+void Connection::onReadFailed(boost::system::error_code Failure) {
+  if (Reader.started() && Failure == beast::error::timeout) {
+    Owner->budget().report(InboundEvent::TooSlow);
+    Owner->onBadInput(Server::BadInput::TooSlow);
+  }
+  close();
+}
+
+void Connection::parse(std::size_t Received) {
+  RequestReader::State State = Reader.parse();
+  if (State == RequestReader::State::TooLarge) {
+    Owner->budget().report(InboundEvent::TooLarge);
+    return refuse(
+        Server::BadInput::TooLarge,
+        toResponse({413, "too-large",
+                    "The request exceeds a limit: " + Reader.exceededLimit(),
+                    Execution::NotRun}));
+  }
+  if (State == RequestReader::State::Malformed) {
+    Owner->budget().report(InboundEvent::Malformed);
+    return refuse(
+        Server::BadInput::Malformed,
+        toResponse({400, "malformed-request", "The request could not be read",
+                    Execution::NotRun}));
+  }
+
+  TimePoint Now = now();
+  if (!Share->receive(Reader.heldBytes(), Received,
+                      Reader.parser().remainingBytes(), Now)) {
+    Response Refusal =
+        toResponse({503, "no-memory", "Too many requests are incomplete",
+                    Execution::NotRun});
+    Refusal.Headers.push_back({"Retry-After", "1"});
+    return refuse(Server::BadInput::NoMemory, std::move(Refusal));
+  }
+  if (State == RequestReader::State::Complete)
+    return handleRequest(Now);
+  // The idle timeout applies until the first byte. The rest must arrive at a
+  // minimum rate and in time, so that a slow sender does not keep its memory.
+  Stream.expires_after(std::min(RequestDeadline, Share->tooSlowAt()) - Now);
+  readMore();
+}
+
+void Connection::handleRequest(TimePoint Now) {
   Busy = true;
   ++ExchangeNumber;
   Stream.expires_never();
-  const auto &Message = Parser->get();
-  RequestKeepAlive = Message.keep_alive();
-  HttpVersion = Message.version();
-  Request Received{toText(Message.method_string()),
-                   toText(Message.target()),
-                   toHeaders(Message),
-                   {}};
-  Received.Body = std::move(Parser->get().body());
+  // The body stays accounted for while the request is processed.
+  Share->process(Now);
+  RequestKeepAlive = Reader.parser().keep_alive();
   watchForDisconnect();
-  Owner->onRequest(std::move(Received),
+  Owner->onRequest(std::move(Reader.parser().Message),
                    std::make_shared<ConnectionExchange>(shared_from_this()));
 }
 
-void Connection::refuse(Server::BadInput Kind, int Status) {
+void Connection::refuse(Server::BadInput Kind, Response Answer) {
   Owner->onBadInput(Kind);
   Busy = true;
+  Refused = true;
   RequestKeepAlive = false;
-  const char *Type = Status == 413 ? "too-large" : "malformed-request";
-  respond(toResponse(
-      {Status, Type, "The request could not be read", Execution::NotRun}));
+  // A refused request holds no memory while its refusal is sent.
+  Reader.drop();
+  respond(std::move(Answer));
+}
+
+/// Reads and drops what is still arriving, for a limited time. Closing a
+/// connection with unread bytes resets it, and the caller would lose the
+/// refusal.
+void Connection::discardInput() {
+  Stream.async_read_some(
+      Reader.prepareDiscard(),
+      [Self = shared_from_this()](boost::system::error_code Failure,
+                                  std::size_t Count) {
+        if (Self->Closed)
+          return;
+        Self->DiscardedBytes += Count;
+        if (Failure || Self->DiscardedBytes > MaxDiscardedBytes)
+          return Self->close();
+        Self->discardInput();
+      });
 }
 
 /// The socket becomes readable when the caller closes its end while it waits
@@ -145,13 +215,20 @@
   if (Failure || !Busy || Exchange != ExchangeNumber)
     return;
 
-  char Byte = 0;
+  // Bytes behind the request are read, as a closed connection would not be
+  // seen behind them and the kernel would hold any number of them.
+  auto Space = Reader.prepareNext();
+  if (Space.size() == 0) {
+    Owner->budget().report(InboundEvent::TooManyPipelined);
+    return close();
+  }
   boost::system::error_code ReadFailure;
   Stream.socket().non_blocking(true, ReadFailure);
-  std::size_t Read = Stream.socket().receive(
-      asio::buffer(&Byte, 1), asio::socket_base::message_peek, ReadFailure);
-  if (Read > 0 || ReadFailure == asio::error::would_block)
-    return;
+  std::size_t Read = Stream.socket().receive(Space, 0, ReadFailure);
+  if (Read > 0 || ReadFailure == asio::error::would_block) {
+    Reader.commit(Read);
+    return watchForDisconnect();
+  }
 
   auto Callback = std::move(DisconnectCallback);
   DisconnectCallback = nullptr;
@@ -164,22 +241,26 @@
     return;
 
   Answer.emplace();
-  Answer->version(HttpVersion);
+  Answer->version(Reader.parser().Version);
   Answer->result(static_cast<unsigned>(Reply.Status));
   setHeaders(*Answer, Reply.Headers);
   Answer->body() = std::move(Reply.Body);
   Answer->keep_alive(RequestKeepAlive && !Owner->draining());
   Answer->prepare_payload();
+  Share->send(Answer->body().size() + Reader.heldBytes(), now());
   write(Answer->keep_alive());
 }
 
 void Connection::write(bool KeepAlive) {
   Stream.expires_after(Owner->options().TransferTimeout);
-  beast::http::async_write(Stream, *Answer,
-                           [Self = shared_from_this(), KeepAlive](
-                               boost::system::error_code Failure, std::size_t) {
-                             Self->finishAnswer(KeepAlive && !Failure);
-                           });
+  beast::http::async_write(
+      Stream, *Answer,
+      [Self = shared_from_this(), KeepAlive](boost::system::error_code Failure,
+                                             std::size_t) {
+        if (Failure == beast::error::timeout)
+          Self->Owner->budget().report(InboundEvent::TooSlow);
+        Self->finishAnswer(KeepAlive && !Failure);
+      });
 }
 
 void Connection::beginStream(Response Head) {
@@ -215,6 +296,7 @@
     return true;
 
   QueuedBytes += Bytes.size();
+  Share->send(QueuedBytes, now());
   Chunks.push_back(std::move(Bytes));
   writeNextChunk();
   return true;
@@ -265,18 +347,25 @@
 }
 
 void Connection::finishAnswer(bool KeepAlive) {
+  if (Closed)
+    return;
   Busy = false;
   DisconnectCallback = nullptr;
-  if (!KeepAlive)
-    return close();
-
+  Answer.reset();
   boost::system::error_code Ignored;
   Stream.socket().cancel(Ignored);
-  readNext();
+  if (KeepAlive)
+    return readNext();
+  if (!Refused)
+    return close();
+  Share->idle(now());
+  Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  Stream.expires_after(DiscardTime);
+  discardInput();
 }
 
 void Connection::closeIfIdle() {
-  if (!Busy && !(Parser && Parser->got_some()))
+  if (!Busy && (Refused || !Reader.started()))
     close();
 }
 
@@ -294,6 +383,7 @@
   boost::system::error_code Ignored;
   Stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
   Stream.close();
+  Share.reset();
   Owner->onClosed(shared_from_this());
 }
 
--- a/src/http/Connection.h
+++ b/src/http/Connection.h
@@ -3,8 +3,8 @@
 
 #include "daisyspool/http/Server.h"
 #include "http/Convert.h"
+#include "http/RequestReader.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <deque>
@@ -24,6 +24,7 @@
   virtual ~ConnectionOwner() = default;
 
   virtual const Server::Options &options() const = 0;
+  virtual InboundBudget &budget() = 0;
   virtual bool draining() const = 0;
   virtual void onRequest(Request Received,
                          std::shared_ptr<Exchange> Answer) = 0;
@@ -38,7 +39,9 @@
   Connection(boost::asio::ip::tcp::socket Socket,
              std::shared_ptr<ConnectionOwner> Owner);
 
-  void readNext();
+  /// Admits the connection and reads its first request. Returns false if the
+  /// connection must be refused.
+  bool start();
   void closeIfIdle();
   bool busy() const { return Busy; }
 
@@ -50,8 +53,14 @@
   void closeUnanswered();
 
 private:
-  void onRead(boost::system::error_code Failure);
-  void refuse(Server::BadInput Kind, int Status);
+  void readNext();
+  void readMore();
+  void onRead(boost::system::error_code Failure, std::size_t Count);
+  void onReadFailed(boost::system::error_code Failure);
+  void parse(std::size_t Received);
+  void handleRequest(TimePoint Now);
+  void refuse(Server::BadInput Kind, Response Answer);
+  void discardInput();
   void watchForDisconnect();
   void onSocketReadable(boost::system::error_code Failure,
                         std::uint64_t Exchange);
@@ -62,8 +71,11 @@
 
   beast::tcp_stream Stream;
   std::shared_ptr<ConnectionOwner> Owner;
-  beast::flat_buffer Buffer;
-  std::optional<beast::http::request_parser<beast::http::string_body>> Parser;
+  /// Null once the connection is closed.
+  std::unique_ptr<InboundShare> Share;
+  RequestReader Reader;
+  /// Until when the whole request in progress must have arrived.
+  TimePoint RequestDeadline;
   std::optional<BeastResponse> Answer;
   std::optional<beast::http::response<beast::http::empty_body>> StreamHead;
   std::optional<beast::http::response_serializer<beast::http::empty_body>>
@@ -74,8 +86,11 @@
   /// Identifies the current exchange, so that a late socket notification for an
   /// earlier exchange on the same connection is ignored.
   std::uint64_t ExchangeNumber = 0;
-  unsigned HttpVersion = 11;
   bool Busy = false;
+  /// The request was refused before it was read whole.
+  bool Refused = false;
+  /// Bytes that arrived behind the refusal.
+  std::size_t DiscardedBytes = 0;
   bool RequestKeepAlive = false;
   bool Streaming = false;
   bool Writing = false;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -19,11 +19,22 @@
        BadInputHandler OnBadInput)
       : Acceptor(Io), AcceptRetry(Io), Config(std::move(Config)),
         OnRequest(std::move(OnRequest)), OnBadInput(std::move(OnBadInput)) {
+    if (!this->Config.Budget)
+      this->Config.Budget =
+          std::make_shared<InboundBudget>(InboundBudget::Limits{});
+    limitBody(this->Config.MaxBodyBytes);
     asio::ip::tcp::endpoint ListenAddress(
         asio::ip::make_address(this->Config.Listen.Address),
         this->Config.Listen.Port);
     Acceptor.open(ListenAddress.protocol());
     Acceptor.set_option(asio::socket_base::reuse_address(true));
+    // Accepted connections inherit the size, which must be set before the
+    // window is agreed.
+    boost::system::error_code Ignored;
+    if (this->Config.ReceiveBufferBytes > 0)
+      Acceptor.set_option(asio::socket_base::receive_buffer_size(
+                              this->Config.ReceiveBufferBytes),
+                          Ignored);
     Acceptor.bind(ListenAddress);
     Acceptor.listen();
   }
@@ -58,7 +69,14 @@
         });
   }
 
+  void limitBody(std::size_t Bytes) {
+    // The rest of a connection's memory is for its header and buffers.
+    Config.MaxBodyBytes =
+        std::min(Bytes, Config.Budget->limits().ConnectionBytes / 4 * 3);
+  }
+
   const Options &options() const override { return Config; }
+  InboundBudget &budget() override { return *Config.Budget; }
   bool draining() const override { return Draining; }
 
   void onRequest(Request Received, std::shared_ptr<Exchange> Answer) override {
@@ -116,7 +134,10 @@
     auto Created =
         std::make_shared<Connection>(std::move(Socket), shared_from_this());
     Connections.insert(Created);
-    Created->readNext();
+    if (Created->start())
+      return;
+    Connections.erase(Created);
+    onBadInput(BadInput::TooManyConnections);
   }
 
   void finishDrain() {
@@ -156,6 +177,8 @@
   State->drain(std::move(Done));
 }
 
+void Server::limitBody(std::size_t Bytes) { State->limitBody(Bytes); }
+
 std::size_t Server::inFlight() const { return State->inFlight(); }
 
 } // namespace daisyspool::http
--- a/tests/crowd/EntryCrowd.cpp
+++ b/tests/crowd/EntryCrowd.cpp
@@ -60,6 +60,12 @@
               65536);
 }
 
+TEST_CASE("crowd at an entry: a last chunk byte by byte") {
+  holdAgainst(Clients,
+              postHead(jobPath('1'), "Transfer-Encoding: chunked") + "0\r\n\r",
+              1);
+}
+
 TEST_CASE("crowd at an entry: trailers without end") {
   holdAgainst(20, endlessTrailers(jobPath('1'), 4 * 1024 * 1024), 65536);
 }
@@ -79,6 +85,13 @@
               postHead(jobPath('1'), Lines + "Content-Length: 2") + "{", Whole);
 }
 
+TEST_CASE("crowd at an entry: header lines without end") {
+  std::string Lines;
+  while (Lines.size() < 4 * 1024 * 1024)
+    Lines += "a: b\r\n";
+  holdAgainst(20, "GET " + jobPath('1') + " HTTP/1.1\r\n" + Lines, 65536);
+}
+
 TEST_CASE("crowd at an entry: a target without end") {
   holdAgainst(Clients, "GET /" + std::string(1024 * 1024, 'x'), 65536);
 }
