--- a/include/daisyspool/settings/NodeSettings.h
+++ b/include/daisyspool/settings/NodeSettings.h
@@ -41,6 +41,10 @@
   /// What costs callers least waits when there is too little room, and what
   /// can no longer be served in time is refused.
   bool OrderByCost = false;
+  /// The memory above which the platform ends this process.
+  MebiBytes Memory{128};
+  /// The descriptors that this process may have open.
+  std::size_t FileDescriptors = 4096;
   std::string LogLevel = "info";
 };
 
