Take back tasks of a draining worker whose order was not sent

Cause: only checkpointing and long-running tasks left a draining worker before their order was sent; the others were sent, turned away and delayed.

Change: such a task is free at once.

--- a/src/scheduling/SchedulerDrain.cpp
+++ b/src/scheduling/SchedulerDrain.cpp
@@ -1,4 +1,5 @@
-// The part of Scheduler that decides on the runs of workers that leave.
+// The part of Scheduler that decides on the runs of workers that leave, and
+// that learns which workers are lost.
 #include "daisyspool/scheduling/DrainPlan.h"
 #include "daisyspool/scheduling/Scheduler.h"
 
@@ -92,6 +93,11 @@
   JobProgress &Job = Found->second;
   const auto &Step = Job.stepDefinition(Name);
   const Assignment &Run = Vm.Assigned.at(Name);
+  // Nothing is lost, as no order was sent.
+  if (Run.NewestOrderSync == 0) {
+    stopRun(Vm, Name, "draining");
+    return true;
+  }
   LeavingRun Leaving;
   Leaving.LongRunning = Step.LongRunning;
   Leaving.Checkpoints = Step.Checkpoints;
@@ -101,13 +107,12 @@
   Leaving.MaxUnavailable = Step.MaxUnavailable;
   auto TimeLeft = std::max(
       Millis(0), std::chrono::duration_cast<Millis>(Vm.LeavesAt - Now));
-  VmState *Target = nullptr;
   // The search for room is the costly part, so it is left out where it decides
   // nothing.
   Leaving.HasRoomElsewhere = true;
   if (chooseLeavingAction(Leaving, TimeLeft) == LeavingAction::Stay)
     return false;
-  Target = findRoom(Job, Name, Now);
+  VmState *Target = findRoom(Job, Name, Now);
   Leaving.HasRoomElsewhere = Target != nullptr;
   if (Step.LongRunning)
     Leaving.Unavailable = unavailableTasks(Job, Name);
--- a/tests/scheduling/LeavingWorkersTest.cpp
+++ b/tests/scheduling/LeavingWorkersTest.cpp
@@ -208,3 +208,16 @@
   restartWorker(Setup, "vm0");
   REQUIRE_FALSE(Setup.Subject.vm(VmId("vm0"))->History.isUnsteady(Setup.Now));
 }
+
+// Guards against sending an order to a worker that will turn it away.
+TEST_CASE("a task whose order was not sent leaves a draining worker at once") {
+  Fixture Setup(2);
+  Setup.Subject.addJob(job("short", 4, 1000), Millis(0), Setup.Now);
+  Setup.scheduleAndCommit();
+  std::string Vm =
+      Setup.Subject.vm(VmId("vm0"))->Assigned.empty() ? "vm1" : "vm0";
+  drain(Setup, Vm, Millis(5000));
+  Setup.scheduleAndCommit();
+  REQUIRE(Setup.Subject.vm(VmId(Vm))->Assigned.empty());
+  REQUIRE(Setup.runCount("short") == 4);
+}
