Keep header lines as text until a request is complete

Cause: a header of 16,000 bytes may have 4,000 empty lines, whose table takes 256 KB for each incomplete request.

--- a/src/http/RequestReader.cpp
+++ b/src/http/RequestReader.cpp
@@ -3,7 +3,6 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -16,10 +15,8 @@
 /// Buffer while a body arrives. Each filling is one turn of the event loop.
 constexpr std::size_t BodyBufferBytes = 16 * 1024;
 constexpr std::size_t PieceBytes = 16 * 1024;
-/// Header lines that most requests have at most.
-constexpr std::size_t FirstHeaders = 32;
-/// Memory of a header line in a list.
-constexpr std::size_t HeaderNodeBytes = sizeof(Header) + 4 * sizeof(void *);
+/// Not part of a header line.
+constexpr char LineSeparator = '\n';
 /// Bytes on the wire for each byte of a body. A chunk of one byte takes six.
 constexpr std::size_t WireBytesPerBodyByte = 8;
 
@@ -36,7 +33,7 @@
 
 std::size_t RequestParser::storedBytes() const {
   return Message.Body.capacity() + Pieces.size() * PieceBytes +
-         HeaderTextBytes + MoreHeaders.size() * HeaderNodeBytes +
+         Message.Target.capacity() + HeaderText.capacity() +
          Message.Headers.capacity() * sizeof(Header);
 }
 
@@ -44,31 +41,21 @@
                                     int HttpVersion, Failure &) {
   Message.Method = toString(Method);
   Message.Target = toString(Target);
-  HeaderTextBytes += Method.size() + Target.size();
   Version = static_cast<unsigned>(HttpVersion);
 }
 
+/// Keeps the lines as text until the request is complete: a table of them
+/// takes 16 times the bytes of thousands of empty lines.
 void RequestParser::on_field_impl(beast::http::field, Text Name, Text Value,
                                   Failure &) {
   if (HeaderDone)
     return;
-  HeaderTextBytes += Name.size() + Value.size();
-  Header Line{toString(Name), toString(Value)};
-  if (Message.Headers.size() < FirstHeaders)
-    Message.Headers.push_back(std::move(Line));
-  else
-    MoreHeaders.push_back(std::move(Line));
+  HeaderText.append(Name.data(), Name.size()).push_back(LineSeparator);
+  HeaderText.append(Value.data(), Value.size()).push_back(LineSeparator);
+  ++HeaderCount;
 }
 
-/// Joins the header lines. A table that grows as a whole leaves gaps in the
-/// heap, and thousands of empty lines fit in a header.
-void RequestParser::on_header_impl(Failure &) {
-  HeaderDone = true;
-  Message.Headers.reserve(Message.Headers.size() + MoreHeaders.size());
-  std::move(MoreHeaders.begin(), MoreHeaders.end(),
-            std::back_inserter(Message.Headers));
-  MoreHeaders.clear();
-}
+void RequestParser::on_header_impl(Failure &) { HeaderDone = true; }
 
 void RequestParser::on_body_init_impl(boost::optional<std::uint64_t> const &,
                                       Failure &) {}
@@ -85,6 +72,26 @@
 }
 
 void RequestParser::on_finish_impl(Failure &) {
+  joinHeaders();
+  joinBody();
+}
+
+void RequestParser::joinHeaders() {
+  Message.Headers.reserve(HeaderCount);
+  std::size_t Position = 0;
+  auto Next = [&] {
+    std::size_t End = HeaderText.find(LineSeparator, Position);
+    std::string Part = HeaderText.substr(Position, End - Position);
+    Position = End + 1;
+    return Part;
+  };
+  while (Position < HeaderText.size()) {
+    std::string Name = Next();
+    Message.Headers.push_back({std::move(Name), Next()});
+  }
+}
+
+void RequestParser::joinBody() {
   if (Pieces.empty())
     return;
   std::string Whole;
--- a/src/http/RequestReader.h
+++ b/src/http/RequestReader.h
@@ -7,7 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
-#include <list>
 #include <optional>
 
 namespace daisyspool::http {
@@ -49,12 +48,14 @@
   void on_finish_impl(Failure &Code) override;
 
   std::size_t append(Text Bytes);
+  void joinHeaders();
+  void joinBody();
 
-  std::size_t HeaderTextBytes = 0;
   /// The body behind its first piece, which is in Message.
   std::vector<std::string> Pieces;
-  /// The header lines behind the first ones until the header is complete.
-  std::list<Header> MoreHeaders;
+  /// Names and values of the header lines, each followed by a separator.
+  std::string HeaderText;
+  std::size_t HeaderCount = 0;
   bool HeaderDone = false;
 };
 
