Probe again while a job may be stored and the store resets connections

Cause: a submission whose write was cut off by a reset was answered 504 a few milliseconds later, as the read that follows was reset too.

--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -86,6 +86,8 @@
   bool isStoreSilent() const;
   bool shouldRefuseUnsent();
   void probeStore(const std::shared_ptr<Submission> &Request);
+  /// Probes again while the caller can wait for whether its job is stored.
+  void probeLater(const std::shared_ptr<Submission> &Request);
   Millis elapsed(const Submission &Request) const;
   Millis remainingTime(const Submission &Request) const;
   void reportUndecided(const Submission &Request);
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -112,11 +112,25 @@
                  return commitJob(Request);
                }
                if (Request->MayBeStored)
-                 return reportUndecided(*Request);
+                 return probeLater(Request);
                reportRefused(*Request, "store_silent");
              });
 }
 
+/// Load pattern: the store resets connections for seconds, so that each call
+/// fails at once. A caller may not be able to repeat a job that may be stored,
+/// so it waits as long as for a store that does not answer.
+void JobIntake::probeLater(const std::shared_ptr<Submission> &Request) {
+  if (elapsed(*Request) >= adaptiveTimeout(UndecidedTimeout) ||
+      Time.now() + RetryDelay >= Request->Deadline)
+    return reportUndecided(*Request);
+  Request->RetryTimer->start(RetryDelay,
+                             [this, Request, Self = std::weak_ptr(Alive)] {
+                               if (!Self.expired())
+                                 probeStore(Request);
+                             });
+}
+
 Millis JobIntake::elapsed(const Submission &Request) const {
   return std::chrono::duration_cast<Millis>(Time.now() - Request.StartedAt);
 }
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -24,6 +24,8 @@
   bool Down = false;
   /// Calls are not executed and get no answer.
   bool Silent = false;
+  /// Connections are reset, so that each call fails at once.
+  bool Resets = false;
   /// Processes whose calls are refused.
   std::set<std::string> RefusedProcesses;
   /// Calls that wait for changes get no answer.
@@ -162,6 +164,9 @@
       if (Backend.Silent)
         return answer(Backend, CallerAlive, Timeout, Done,
                       rows::CommitOutcome(rows::OutcomeUnknown{"silent"}));
+      if (Backend.Resets)
+        return answer(Backend, CallerAlive, Millis(1), Done,
+                      rows::CommitOutcome(rows::OutcomeUnknown{"reset"}));
       if (Backend.refuses(Name))
         return answer(Backend, CallerAlive, Millis(1), Done,
                       rows::CommitOutcome(rows::NotApplied{"busy"}));
@@ -195,7 +200,7 @@
       if (Backend.Silent || Range.Table == Backend.SilentTable)
         return answer(Backend, CallerAlive, Timeout, Done,
                       rows::ReadOutcome(rows::ReadFailed{"silent"}));
-      if (Backend.refuses(Name))
+      if (Backend.Resets || Backend.refuses(Name))
         return answer(Backend, CallerAlive, Millis(1), Done,
                       rows::ReadOutcome(rows::ReadFailed{"busy"}));
       if (2 * Backend.Delay > Timeout)
--- a/tests/intake/JobIntakeTest.cpp
+++ b/tests/intake/JobIntakeTest.cpp
@@ -282,3 +282,30 @@
   REQUIRE(Answer);
   REQUIRE(std::holds_alternative<Refused>(*Answer));
 }
+
+// Guards against answering that a job may be stored, milliseconds after its
+// arrival, although the store recovers while the caller still waits.
+TEST_CASE("a submission cut off by a reset is settled when the store answers") {
+  Fixture Setup;
+  Setup.Store.Resets = true;
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(600));
+  REQUIRE_FALSE(Setup.Answer);
+  Setup.Store.Resets = false;
+  Setup.Loop.runFor(Millis(300));
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Answer));
+  REQUIRE(Setup.isStored("a"));
+}
+
+// Guards against a caller that is held until its deadline, so that no time is
+// left to ask another entry.
+TEST_CASE("a submission to a store that keeps resetting is soon undecided") {
+  Fixture Setup;
+  Setup.Store.Resets = true;
+  TimePoint Start = Setup.Loop.now();
+  Setup.submit("a");
+  Setup.Loop.runFor(Millis(2400));
+  REQUIRE(std::holds_alternative<Undecided>(*Setup.Answer));
+  REQUIRE(Setup.AnsweredAt - Start >= Millis(1500));
+  REQUIRE(Setup.AnsweredAt - Start < Millis(1800));
+}
