Drop timers of a destroyed process in the virtual fleet

Cause: a submission that waits to be repeated holds its own timer, so it outlives its entry in the tests, and the timer then used the freed processor of the entry. Change: the timer checks whether its process still exists, as answers do. No check of a test changes.

--- a/tests/fleet/VirtualProcessor.h
+++ b/tests/fleet/VirtualProcessor.h
@@ -54,6 +54,8 @@
         };
   }
 
+  const AliveFlag &aliveFlag() const { return Alive; }
+
 private:
   VirtualLoop &Loop;
   AliveFlag Alive;
@@ -69,8 +71,11 @@
 
   void start(Millis After, std::function<void()> Callback) override {
     std::uint64_t Own = ++*Generation;
-    Inner->start(After, [this, Own, Current = Generation,
-                         Callback = std::move(Callback)] {
+    // A callback that holds its own timer outlives the process.
+    Inner->start(After, [this, Own, Process = Cpu.aliveFlag(),
+                         Current = Generation, Callback = std::move(Callback)] {
+      if (!*Process)
+        return;
       if (Cpu.TimePerEvent == Millis(0))
         return Callback();
       Cpu.run([Own, Current, Callback] {
