--- a/review/fleet-3/Fleet.h
+++ b/review/fleet-3/Fleet.h
@@ -42,6 +42,8 @@
     std::size_t Agents = 3;
     /// Of an entry's machine, as in the settings of the small deployments.
     std::int64_t MemoryMebiBytes = 260;
+    /// Of an agent's machine.
+    std::int64_t AgentMebiBytes = 128;
     int MaxAttempts = 3;
     /// Of the link of an entry's machine; unlimited if 0. The connections to
     /// the store and those to the agents get this much each.
@@ -62,7 +64,7 @@
       addAgent(I);
     for (std::size_t I = 0; I < Config.Entries; ++I)
       addEntry(I);
-    EntryDeaths.resize(Config.Entries);
+    Deaths.resize(Processes.size());
   }
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
@@ -70,7 +72,7 @@
   void start() {
     for (auto &Each : Processes)
       Each->start();
-    superviseEntries();
+    supervise();
   }
 
   void runFor(Millis Span) {
@@ -119,14 +121,12 @@
     return std::stoul(Name.substr(std::string("entry").size()));
   }
 
-  SoakProcess &agent(std::size_t I) { return *Processes[I]; }
-  SoakProcess &entry(std::size_t I) { return *Processes[Config.Agents + I]; }
-
   /// Kills an entry as the platform does; it is restarted after a second.
-  void killEntry(std::size_t I) {
-    entry(I).signal(SIGKILL);
-    Loop.after(RestartAfter, [this, I] { entry(I).start(); });
-  }
+  void killEntry(std::size_t I) { kill(Config.Agents + I); }
+
+  /// How often an entry has exceeded the memory of its machine.
+  int entryDeaths(std::size_t I) const { return Deaths[Config.Agents + I]; }
+  int agentDeaths(std::size_t I) const { return Deaths[I]; }
 
   boost::asio::io_context Io{1};
   VirtualLoop Loop;
@@ -134,10 +134,9 @@
   World Shared;
   Store Rows;
   std::vector<std::unique_ptr<Worker>> Workers;
-  /// By entry, how often it has exceeded the memory of its machine.
-  std::vector<int> EntryDeaths;
-  /// The largest memory that an entry was seen to use.
-  std::int64_t MostMebiBytes = 0;
+  /// The largest memory that an entry and an agent were seen to use.
+  std::int64_t MostOfEntry = 0;
+  std::int64_t MostOfAgent = 0;
 
 private:
   static constexpr Millis RestartAfter{1000};
@@ -147,20 +146,31 @@
   static constexpr int PortsPerRun = 192;
   static constexpr int PortRanges = 100;
 
-  void superviseEntries() {
-    for (std::size_t I = 0; I < Config.Entries; ++I) {
-      if (!entry(I).running())
+  void kill(std::size_t Process) {
+    Processes[Process]->signal(SIGKILL);
+    Loop.after(RestartAfter, [this, Process] { Processes[Process]->start(); });
+  }
+
+  /// Ends each process that exceeds its memory, as the platform does.
+  void supervise() {
+    for (std::size_t I = 0; I < Processes.size(); ++I) {
+      if (!Processes[I]->running())
         continue;
-      std::int64_t Used = residentMebiBytes(entry(I).id());
-      MostMebiBytes = std::max(MostMebiBytes, Used);
-      if (Used <= Config.MemoryMebiBytes)
+      bool IsAgent = I < Config.Agents;
+      std::int64_t Limit =
+          IsAgent ? Config.AgentMebiBytes : Config.MemoryMebiBytes;
+      std::int64_t Used = residentMebiBytes(Processes[I]->id());
+      std::int64_t &Most = IsAgent ? MostOfAgent : MostOfEntry;
+      Most = std::max(Most, Used);
+      if (Used <= Limit)
         continue;
-      ++EntryDeaths[I];
-      note() << "entry" << I << " uses " << Used << " MiB of "
-             << Config.MemoryMebiBytes << ": the platform ends it\n";
-      killEntry(I);
+      ++Deaths[I];
+      note() << (IsAgent ? "agent" : "entry")
+             << (IsAgent ? I : I - Config.Agents) << " uses " << Used
+             << " MiB of " << Limit << ": the platform ends it\n";
+      kill(I);
     }
-    Loop.after(SuperviseInterval, [this] { superviseEntries(); });
+    Loop.after(SuperviseInterval, [this] { supervise(); });
   }
 
   /// Returns a free port below the ephemeral range: an outgoing connection
@@ -238,7 +248,7 @@
                    "\nlinks = " + http::toString(LeaderLink) + "\nmetrics = " +
                    http::toString(freeEndpoint()) + "\n[worker]\naddress = " +
                    http::toString(Workers.back()->endpoint()) + "\n" +
-                   commonSections(128, Rows.endpoint()));
+                   commonSections(Config.AgentMebiBytes, Rows.endpoint()));
   }
 
   void addEntry(std::size_t I) {
@@ -262,7 +272,10 @@
   std::uint16_t NextPort = static_cast<std::uint16_t>(
       FirstPort + ::getpid() % PortRanges * PortsPerRun);
   boost::asio::steady_timer AdvanceTimer;
+  /// The agents, then the entries.
   std::vector<std::unique_ptr<SoakProcess>> Processes;
+  /// By process.
+  std::vector<int> Deaths;
   std::vector<std::unique_ptr<http::Client>> EntryClients;
   std::vector<std::shared_ptr<SlowLink>> Links;
   /// The link between the leader and the agents.
--- a/review/fleet-3/Store.h
+++ b/review/fleet-3/Store.h
@@ -1,4 +1,5 @@
-// The platform's store as the operators' pages describe it, without faults.
+// The platform's store as the operators' pages describe it; it may lose
+// answers.
 #ifndef DAISYSPOOL_REVIEW_FLEET3_STORE_H
 #define DAISYSPOOL_REVIEW_FLEET3_STORE_H
 
@@ -46,6 +47,13 @@
     return Found->second.Value;
   }
 
+  /// Whether the answer to a transaction with this body is lost; it is then
+  /// done after LateAfter, if its condition still holds.
+  std::function<bool(const json &Body)> IsLost = [](const json &) {
+    return false;
+  };
+  Millis LateAfter{5900};
+
   /// Changes the base64 value of a row that a process writes.
   std::function<std::string(const std::string &Value)> Filter;
 
@@ -78,10 +86,7 @@
     try {
       std::string Path = Received.Target.substr(0, Received.Target.find('?'));
       if (Path == "/-/rows-tx")
-        return Loop.after(TransactionTime,
-                          [this, Answer, From = json::parse(Received.Body)] {
-                            transact(From, Answer);
-                          });
+        return receive(json::parse(Received.Body), Answer);
       if (Path == "/-/rows-get")
         return Answer->respond(jsonResponse(range(Received.Target)));
       if (Path == "/-/rows-feed")
@@ -96,6 +101,17 @@
     }
   }
 
+  void receive(const json &From, const ExchangePtr &Answer) {
+    bool Lost = IsLost(From);
+    if (Lost)
+      Unanswered.push_back(Answer);
+    Loop.after(Lost ? LateAfter : TransactionTime, [this, Lost, Answer, From] {
+      http::Response Result = transact(From);
+      if (!Lost)
+        Answer->respond(std::move(Result));
+    });
+  }
+
   static std::string query(const std::string &Target, const std::string &Key) {
     std::size_t Position = Target.find('?');
     while (Position != std::string::npos) {
@@ -179,12 +195,12 @@
     }
   }
 
-  void transact(const json &From, const ExchangePtr &Answer) {
+  http::Response transact(const json &From) {
     const json &Conditions = From.at("expected_revision");
     const json &Puts = From.at("upserts");
     const json &Removes = From.at("remove");
     if (Conditions.size() + Puts.size() + Removes.size() > MaxEntries)
-      return Answer->respond(jsonResponse(json::object(), 400));
+      return jsonResponse(json::object(), 400);
     json Current = json::array();
     bool Holds = true;
     for (const json &Each : Conditions) {
@@ -197,7 +213,7 @@
     json Result = page();
     if (!Holds) {
       Result["rows"] = std::move(Current);
-      return Answer->respond(jsonResponse(Result, 412));
+      return jsonResponse(Result, 412);
     }
     ++Version;
     for (const json &Each : Puts)
@@ -205,7 +221,7 @@
     for (const json &Each : Removes)
       change(nameFromJson(Each), {"", Version, true});
     Result["schema_version"] = Version;
-    Answer->respond(jsonResponse(Result));
+    return jsonResponse(Result);
   }
 
   void feed(const std::string &Table, std::uint64_t After, TimePoint Until,
@@ -237,6 +253,8 @@
   /// Those of the last seconds, oldest first.
   std::deque<Change> Changes;
   std::uint64_t TrimmedTo = 0;
+  /// Calls that are never answered.
+  std::vector<ExchangePtr> Unanswered;
   std::uint64_t Version = 0;
   http::Server HttpServer;
 };
--- a/review/fleet-3/Worker.h
+++ b/review/fleet-3/Worker.h
@@ -1,5 +1,5 @@
 // A worker as the operators' pages describe it: runs under a lease on its own
-// clock, numbered ends, fencing tokens and gangs.
+// clock, numbered ends and fencing tokens.
 #ifndef DAISYSPOOL_REVIEW_FLEET3_WORKER_H
 #define DAISYSPOOL_REVIEW_FLEET3_WORKER_H
 
@@ -20,15 +20,15 @@
 /// What the workers do with a job, which its caller decides.
 struct JobBehaviour {
   Millis Work{20};
-  /// By step, the number of tasks that work only together; 0 without a gang.
-  std::vector<std::uint32_t> GangSizes;
   /// Of each task, in thousandths of a core.
   std::int64_t Cpu = 100;
+  /// The tasks run until they are stopped.
+  bool Lasts = false;
+  /// What a worker reports as the load of a task.
+  std::int64_t Load = 100;
 };
 
-class Worker;
-
-/// What all workers have in common: the jobs, the gangs and the record.
+/// What all workers have in common: the jobs and the record.
 class World {
 public:
   explicit World(VirtualLoop &Loop, std::ostream &Record)
@@ -64,16 +64,15 @@
     return Idle && isUnderHalf() && Loop.now() - UnderHalfSince >= Span;
   }
 
+  int runningTasks(const std::string &Job) const {
+    auto Found = Runs.find(Job);
+    return Found == Runs.end() ? 0 : Found->second.Count;
+  }
   std::int64_t capacity() const {
     return static_cast<std::int64_t>(WorkerCount) * WorkerCores * 1000;
   }
   std::int64_t cpuInUse() const { return CpuInUse; }
 
-  std::uint32_t gangSize(const std::string &Job, std::size_t Step) const {
-    const auto &Sizes = Jobs.at(Job).GangSizes;
-    return Step < Sizes.size() ? Sizes[Step] : 0;
-  }
-
   VirtualLoop &Loop;
   std::ostream &Record;
   TimePoint StartedAt;
@@ -83,21 +82,8 @@
   int WorkerCores = 16;
   std::size_t WorkerCount = 0;
   std::size_t Starts = 0;
-  std::set<std::string> StartedJobs;
-
-  struct Member {
-    Worker *Host = nullptr;
-    std::string Task;
-    std::uint64_t Run = 0;
-  };
-  struct Gang {
-    std::vector<Member> Members;
-    bool Complete = false;
-  };
-  /// By the name of the step and the number of the run.
-  std::map<std::string, Gang> Gangs;
-  /// By job, the runs of gangs in which a member ended as failed.
-  std::map<std::string, std::set<std::string>> FailedGangs;
+  /// By job, when a task of it last started.
+  std::map<std::string, TimePoint> LastStarts;
 
 private:
   struct JobRuns {
@@ -130,9 +116,6 @@
 
   http::Endpoint endpoint() const { return HttpServer.endpoint(); }
 
-  /// The worker fails all that it starts.
-  bool FailsAll = false;
-
 private:
   struct Run {
     std::uint64_t Number = 0;
@@ -148,11 +131,8 @@
 
   static constexpr Millis AnnounceInterval{1500};
   static constexpr Millis PollInterval{10};
-  static constexpr Millis GangTimeout{3000};
-  /// A failing worker ends a run this long after it could begin its work.
-  static constexpr Millis FailsAfter{20};
-  /// Until the other members of a gang end.
-  static constexpr Millis BreaksAfter{5};
+  /// Until a task that lasts is at work.
+  static constexpr Millis StartupTime{400};
   static constexpr std::int64_t MaxHold = 6000;
   static constexpr std::size_t MaxListedEnds = 500;
 
@@ -255,69 +235,21 @@
     return answer(200);
   }
 
-  /// Calls \p Then after \p Delay if the run is still there.
-  void ifRunning(const std::string &Task, std::uint64_t Number, Millis Delay,
-                 const std::function<void()> &Then) {
-    Loop.after(Delay, [this, Task, Number, Then] {
-      auto Found = Running.find(Task);
-      if (Found != Running.end() && Found->second.Number == Number)
-        Then();
-    });
-  }
-
   void begin(const std::string &Task, std::uint64_t Number) {
     std::string Job = Task.substr(0, Task.find('.'));
     Running[Task] = {Number, Loop.now()};
     ++Shared.Starts;
     Shared.countRun(Job, true);
-    Shared.StartedJobs.insert(Job);
+    Shared.LastStarts[Job] = Loop.now();
     if (Shared.RecordsRuns)
       Shared.note() << Id << " starts " << Task << " run " << Number << '\n';
-    std::string StepName = Task.substr(0, Task.rfind('.'));
-    std::size_t Step = std::stoul(StepName.substr(StepName.rfind('.') + 1));
-    std::uint32_t Size = Shared.gangSize(Job, Step);
-    if (Size > 0)
-      return joinGang(Task, Number, Size, Shared.Jobs.at(Job).Work);
-    ifRunning(Task, Number, FailsAll ? FailsAfter : Shared.Jobs.at(Job).Work,
-              [this, Task, Fails = FailsAll] {
-                end(Task, Fails ? "failed" : "done");
-              });
-  }
-
-  static std::string gangName(const std::string &Task, std::uint64_t Number) {
-    return Task.substr(0, Task.rfind('.')) + " run " + std::to_string(Number);
-  }
-
-  void joinGang(const std::string &Task, std::uint64_t Number,
-                std::uint32_t Size, Millis Work) {
-    std::string Name = gangName(Task, Number);
-    World::Gang &Joined = Shared.Gangs[Name];
-    Joined.Members.push_back({this, Task, Number});
-    ifRunning(Task, Number, GangTimeout, [this, Name, Task] {
-      if (!Shared.Gangs[Name].Complete)
-        end(Task, "alone");
-    });
-    if (Joined.Members.size() < Size)
+    if (Shared.Jobs.at(Job).Lasts)
       return;
-    Joined.Complete = true;
-    // The members begin at the same time, and so do their failures.
-    Loop.after(FailsAfter, [&All = Shared, Name] {
-      for (const World::Member &Each : All.Gangs[Name].Members)
-        if (Each.Host->FailsAll)
-          Each.Host->endIfRunning(Each, "failed");
+    Loop.after(Shared.Jobs.at(Job).Work, [this, Task, Number] {
+      auto Found = Running.find(Task);
+      if (Found != Running.end() && Found->second.Number == Number)
+        end(Task, "done");
     });
-    Loop.after(Work, [&All = Shared, Name] { endGang(All, Name, "done"); });
-  }
-
-  static void endGang(World &All, const std::string &Name, const char *Cause) {
-    for (const World::Member &Each : All.Gangs[Name].Members)
-      Each.Host->endIfRunning(Each, Cause);
-  }
-
-  void endIfRunning(const World::Member &Member, const char *Cause) {
-    auto Found = Running.find(Member.Task);
-    if (Found != Running.end() && Found->second.Number == Member.Run)
-      end(Member.Task, Cause);
   }
 
   void end(const std::string &Task, const std::string &Cause) {
@@ -329,15 +261,6 @@
     if (Shared.RecordsRuns)
       Shared.note() << Id << " ends " << Task << " run " << Ended.Number << ' '
                     << Cause << '\n';
-    std::string Name = gangName(Task, Ended.Number);
-    auto Found = Shared.Gangs.find(Name);
-    if (Found == Shared.Gangs.end())
-      return;
-    if (Cause == "failed")
-      Shared.FailedGangs[Task.substr(0, Task.find('.'))].insert(Name);
-    if (Found->second.Complete && Cause != "done")
-      Loop.after(BreaksAfter,
-                 [&All = Shared, Name] { endGang(All, Name, "broken"); });
   }
 
   void hold(const json &From, const ExchangePtr &Answer) {
@@ -349,6 +272,11 @@
     wait(Loop.now() + Millis(From.value("wait_ms", 0)), Answer);
   }
 
+  int percent(const std::string &Task, const Run &Listed) const {
+    bool Lasts = Shared.Jobs.at(Task.substr(0, Task.find('.'))).Lasts;
+    return Lasts && Loop.now() - Listed.Started >= StartupTime ? 100 : 50;
+  }
+
   void wait(TimePoint Until, const ExchangePtr &Answer) {
     if (Loop.now() < Until && Ends.empty())
       return Loop.after(PollInterval,
@@ -358,7 +286,9 @@
               {"running", json::array()},
               {"finished", json::array()}};
     for (const auto &[Task, Each] : Running)
-      Body["running"].push_back({Task, Each.Number, "", 50, 100});
+      Body["running"].push_back(
+          {Task, Each.Number, "", percent(Task, Each),
+           Shared.Jobs.at(Task.substr(0, Task.find('.'))).Load});
     for (std::size_t I = 0; I < Ends.size() && I < MaxListedEnds; ++I)
       Body["finished"].push_back(
           {Ends[I].Number, Ends[I].Task, Ends[I].Run, Ends[I].Cause, ""});
--- a/review/fleet-3/review_cases.cpp
+++ b/review/fleet-3/review_cases.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <random>
 
 namespace {
 
@@ -19,14 +20,6 @@
   return std::string(16 - Digits.size(), '0') + Digits;
 }
 
-/// An id whose last digits are spread as those of random ones.
-std::string mixedId(std::size_t Number) {
-  char Text[17];
-  std::snprintf(Text, sizeof(Text), "%016llx",
-                static_cast<unsigned long long>(Number) * 0x9E3779B97F4A7C15);
-  return Text;
-}
-
 json step(std::uint32_t Count) {
   return {
       {"count", Count}, {"cpu", 100}, {"mem_mb", 10}, {"estimated_ms", 500}};
@@ -57,7 +50,7 @@
     All.push_back(std::make_unique<Probe>());
     All.back()->Id = jobId(Number);
     All.back()->Body = std::move(Body);
-    Target.Shared.Jobs[All.back()->Id] = {Work, {}, Cpu};
+    Target.Shared.Jobs[All.back()->Id] = {Work, Cpu};
     attempt(*All.back());
   }
 
@@ -170,10 +163,10 @@
                 << static_cast<double>(Target.Rows.version() - WritesBefore) /
                        Seconds
                 << " transactions a second; most memory of an entry "
-                << Target.MostMebiBytes << " MiB\n";
+                << Target.MostOfEntry << " MiB\n";
   int DeathsBefore = 0;
-  for (int Deaths : Target.EntryDeaths)
-    DeathsBefore += Deaths;
+  for (std::size_t I = 0; I < Target.Config.Entries; ++I)
+    DeathsBefore += Target.entryDeaths(I);
   if (Accepted < MinJobs || Target.Shared.Starts < Accepted ||
       Leader >= Target.Config.Entries || DeathsBefore > 0)
     return CouldNotRun;
@@ -196,81 +189,7 @@
   Target.note() << Ordinary.accepted() << " of " << ProbeCount
                 << " jobs accepted after it, " << Lost
                 << " of them lost; most memory of an entry "
-                << Target.MostMebiBytes << " MiB\n";
-  if (Ordinary.accepted() == 0)
-    return WithTrouble ? RuleBroken : CouldNotRun;
-  return Lost == 0 ? RuleHeld : RuleBroken;
-}
-
-/// Ordinary jobs are done in a deployment whose entries have links of 10
-/// Mbit/s; then the process that leads is killed once.
-int playTakeover(Fleet::Options Config, bool WithTrouble,
-                 std::ostream &Record) {
-  constexpr std::size_t Jobs = 4400;
-  constexpr std::size_t MinJobs = 4000;
-  constexpr std::size_t JobsPerStep = 3;
-  constexpr Millis StepTime{20};
-  constexpr std::size_t MaxOutstanding = 60;
-  constexpr int MaxSteps = 2500;
-  constexpr int ProbeCount = 15;
-  Config.Entries = 8;
-  Config.Agents = 4;
-  Config.MemoryMebiBytes = 160;
-  Config.EntryMegabits = 10;
-  Fleet Target(std::move(Config), Record);
-  Target.Shared.RecordsRuns = false;
-  Target.Shared.WorkerCores = 32;
-  Target.start();
-  Target.runFor(Millis(3000));
-
-  json Second = step(1);
-  Second["after"] = {0};
-  std::string Body =
-      json{{"spec", std::string(300, 'x')}, {"steps", {step(1), Second}}}
-          .dump();
-  std::size_t Sent = 0;
-  std::size_t Answered = 0;
-  std::size_t Accepted = 0;
-  TimePoint Begin = Target.Loop.now();
-  for (int I = 0; I < MaxSteps && Sent < Jobs; ++I) {
-    for (std::size_t N = 0;
-         N < JobsPerStep && Sent < Jobs && Sent - Answered < MaxOutstanding;
-         ++N, ++Sent) {
-      Target.Shared.Jobs[mixedId(Sent)] = {};
-      Target.send(Sent % Target.Config.Entries, "POST", mixedId(Sent), Body,
-                  [&](int Status, const std::string &) {
-                    ++Answered;
-                    Accepted += Status == 200 ? 1 : 0;
-                  });
-    }
-    Target.runFor(StepTime);
-  }
-  double Seconds =
-      std::chrono::duration<double>(Target.Loop.now() - Begin).count();
-  Target.runFor(Millis(5000));
-  std::size_t Leader = Target.leader();
-  Target.note() << Accepted << " of " << Sent << " jobs accepted in " << Seconds
-                << " s, " << Target.Shared.Starts << " runs started\n";
-  if (Accepted < MinJobs || Target.Shared.Starts < 2 * Accepted ||
-      Leader >= Target.Config.Entries)
-    return CouldNotRun;
-
-  Target.Shared.RecordsRuns = true;
-  if (WithTrouble) {
-    Target.note() << "SIGKILL for entry" << Leader << ", which leads\n";
-    Target.killEntry(Leader);
-  }
-  Target.runFor(Millis(4000));
-  Probes Ordinary(Target);
-  for (int I = 0; I < ProbeCount; ++I) {
-    Ordinary.submit(1'000'000 + static_cast<std::size_t>(I));
-    Target.runFor(Millis(1000));
-  }
-  Target.runFor(Millis(16000));
-  Ordinary.ask();
-  std::size_t Lost = Ordinary.lost();
-  Target.note() << Ordinary.accepted() << " of " << ProbeCount
-                << " jobs accepted after it, " << Lost << " of them lost\n";
+                << Target.MostOfEntry << " MiB\n";
   if (Ordinary.accepted() == 0)
     return WithTrouble ? RuleBroken : CouldNotRun;
   return Lost == 0 ? RuleHeld : RuleBroken;
@@ -350,73 +269,157 @@
   std::size_t Lost = Ordinary.lost();
   std::size_t Failing = 0;
   for (std::size_t I = 0; I < Target.Config.Entries; ++I) {
-    Target.note() << "entry" << I << " was ended " << Target.EntryDeaths[I]
+    Target.note() << "entry" << I << " was ended " << Target.entryDeaths(I)
                   << " times for its memory\n";
-    Failing += Target.EntryDeaths[I] >= 3 ? 1 : 0;
+    Failing += Target.entryDeaths(I) >= 3 ? 1 : 0;
   }
   Target.note() << Accepted << " of " << LargeJobs << " large and "
                 << Ordinary.accepted() << " of " << ProbeCount
                 << " ordinary jobs accepted, " << Lost
                 << " ordinary ones lost; most memory of an entry "
-                << Target.MostMebiBytes << " MiB\n";
+                << Target.MostOfEntry << " MiB\n";
   if (Accepted == 0 && Ordinary.accepted() == 0)
     return CouldNotRun;
   return Failing >= 2 || Lost > 0 ? RuleBroken : RuleHeld;
 }
 
-/// One of eleven workers fails all that it starts, while gangs come.
-int playGangs(Fleet::Options Config, bool WithTrouble, std::ostream &Record) {
-  constexpr std::size_t Jobs = 8;
-  constexpr std::uint32_t Members = 3;
-  Config.Agents = 11;
+/// Three times answers of the store are lost for 4.5 s and the writes done
+/// late; callers whose job is not decided cancel it.
+int playLateWrites(Fleet::Options Config, bool WithTrouble,
+                   std::ostream &Record) {
+  constexpr std::size_t JobsPerTime = 56;
+  constexpr std::size_t Jobs = 3 * JobsPerTime;
+  constexpr Millis Interval{80};
+  constexpr Millis Pause{12000};
+  constexpr int LostShare = 35;
+  constexpr Millis LostFor{4500};
+  constexpr Millis CancelBound{3000};
+  constexpr Millis ContactTime{3000};
   Fleet Target(std::move(Config), Record);
   Target.start();
   Target.runFor(Millis(5000));
 
-  Target.Workers[0]->FailsAll = WithTrouble;
+  std::mt19937 Random(1);
+  TimePoint LostUntil{};
   if (WithTrouble)
-    Target.note() << "i-0 fails all that it starts, for 5.5 s\n";
-  Target.Loop.after(Millis(5500), [&] { Target.Workers[0]->FailsAll = false; });
-  json Step = step(Members);
-  Step["gang"] = true;
-  std::vector<bool> Accepted(Jobs, false);
-  std::vector<std::string> States(Jobs);
+    Target.Rows.IsLost = [&](const json &) {
+      return Target.Loop.now() < LostUntil &&
+             static_cast<int>(Random() % 100) < LostShare;
+    };
+  std::map<std::string, TimePoint> CancelledAt;
+  /// By job, when the writes of its time are no longer lost.
+  std::map<std::string, TimePoint> LostBefore;
+  std::size_t Undecided = 0;
   for (std::size_t I = 0; I < Jobs; ++I) {
-    Target.Shared.Jobs[jobId(I)] = {Millis(200), {Members}, 100};
-    Target.send(I % Target.Config.Entries, "POST", jobId(I),
-                json{{"spec", "gang"}, {"steps", {Step}}}.dump(),
-                [&, I](int Status, const std::string &) {
-                  Target.note()
-                      << "POST " << jobId(I) << ": " << Status << '\n';
-                  Accepted[I] = Status == 200;
-                });
-    Target.runFor(Millis(600));
+    if (I % JobsPerTime == 0) {
+      if (I > 0)
+        Target.runFor(Pause);
+      LostUntil = Target.Loop.now() + LostFor;
+    }
+    std::string Job = jobId(I);
+    Target.Shared.Jobs[Job] = {};
+    LostBefore[Job] = LostUntil;
+    std::size_t Entry = I % Target.Config.Entries;
+    Target.send(
+        Entry, "POST", Job, json{{"spec", "late"}, {"steps", {step(1)}}}.dump(),
+        [&, Job, Entry](int Status, const std::string &) {
+          if (Status == 200)
+            return;
+          Target.note() << "POST " << Job << ": " << Status << '\n';
+          ++Undecided;
+          Target.send((Entry + 1) % Target.Config.Entries, "DELETE", Job, "",
+                      [&, Job](int Answer, const std::string &) {
+                        Target.note()
+                            << "DELETE " << Job << ": " << Answer << '\n';
+                        if (Answer == 200 || Answer == 410)
+                          CancelledAt[Job] = Target.Loop.now();
+                      });
+        });
+    Target.runFor(Interval);
   }
-  Target.runFor(Millis(14000));
-  for (std::size_t I = 0; I < Jobs; ++I)
-    Target.send(I % Target.Config.Entries, "GET", jobId(I), "",
-                [&, I](int Status, const std::string &Body) {
+  Target.runFor(Pause);
+  std::size_t Unasked = 0;
+  for (const auto &[Job, At] : CancelledAt) {
+    auto Started = Target.Shared.LastStarts.find(Job);
+    if (Started == Target.Shared.LastStarts.end() ||
+        Started->second <= At + CancelBound ||
+        Started->second < LostBefore[Job] + ContactTime)
+      continue;
+    ++Unasked;
+    Target.note()
+        << Job << " has started "
+        << std::chrono::duration_cast<Millis>(Started->second - At).count()
+        << " ms after its cancelling was answered\n";
+  }
+  Target.note() << Undecided << " of " << Jobs << " jobs not accepted, "
+                << CancelledAt.size() << " cancelled, " << Unasked
+                << " started in spite of it\n";
+  if (WithTrouble && CancelledAt.empty())
+    return CouldNotRun;
+  return Unasked == 0 ? RuleHeld : RuleBroken;
+}
+
+/// A job whose tasks last and fill meets services whose load has risen.
+int playFilling(Fleet::Options Config, bool WithTrouble, std::ostream &Record) {
+  constexpr std::int64_t TailTarget = 50;
+  constexpr std::int64_t CalmTail = 20;
+  constexpr std::int64_t LoadedTail = 38;
+  constexpr int FillingTasks = 4;
+  Config.Agents = 4;
+  Fleet Target(std::move(Config), Record);
+  Target.start();
+  Target.runFor(Millis(5000));
+
+  auto Submit = [&](std::size_t Number, const json &Step) {
+    Target.send(0, "POST", jobId(Number),
+                json{{"spec", "lasts"}, {"steps", {Step}}}.dump(),
+                [&, Number](int Status, const std::string &) {
                   Target.note()
-                      << "GET " << jobId(I) << ": " << Status << ' ' << Body
-                      << ", failed runs of the gang: "
-                      << Target.Shared.FailedGangs[jobId(I)].size() << '\n';
-                  if (Status == 200)
-                    States[I] = json::parse(Body).value("state", "");
+                      << "POST " << jobId(Number) << ": " << Status << '\n';
                 });
-  Target.runFor(Millis(3500));
-  std::size_t Lost = 0;
-  for (std::size_t I = 0; I < Jobs; ++I)
-    Lost += Accepted[I] && States[I] == "failed" &&
-                    Target.Shared.FailedGangs[jobId(I)].size() <
-                        static_cast<std::size_t>(Target.Config.MaxAttempts)
-                ? 1
-                : 0;
-  Target.note() << Lost << " of " << Jobs
-                << " gangs shown as failed after fewer than "
-                << Target.Config.MaxAttempts << " failed runs\n";
-  if (std::count(Accepted.begin(), Accepted.end(), true) == 0)
+  };
+  for (std::size_t I = 0; I < 2; ++I) {
+    Target.Shared.Jobs[jobId(I)] = {Millis(0), 3200, true, CalmTail};
+    json Serving = step(4);
+    Serving["cpu"] = 3200;
+    Serving["long_running"] = true;
+    Serving["image"] = "voice";
+    Serving["target_ms"] = TailTarget;
+    Serving["anti_affinity"] = 1;
+    Submit(I, Serving);
+  }
+  Target.runFor(Millis(8000));
+  if (WithTrouble) {
+    Target.note() << "the tails of the services rise from " << CalmTail
+                  << " to " << LoadedTail << " ms of " << TailTarget << '\n';
+    for (std::size_t I = 0; I < 2; ++I)
+      Target.Shared.Jobs[jobId(I)].Load = LoadedTail;
+  }
+  Target.runFor(Millis(2000));
+  Target.Shared.Jobs[jobId(9)] = {Millis(0), 0, true, 500};
+  json Filling = step(FillingTasks);
+  Filling["cpu"] = 1000;
+  Filling["long_running"] = true;
+  Filling["fills"] = true;
+  Filling["image"] = "index";
+  Submit(9, Filling);
+  int Most = 0;
+  for (int I = 0; I < 30; ++I) {
+    Target.runFor(Millis(1000));
+    // From 6 s after the submission on, for longer than 3 s.
+    if (I >= 6)
+      Most = std::max(Most, Target.Shared.runningTasks(jobId(9)));
+  }
+  int Serving = Target.Shared.runningTasks(jobId(0)) +
+                Target.Shared.runningTasks(jobId(1));
+  Target.note() << Serving << " serving tasks run; " << Most << " of "
+                << FillingTasks << " filling tasks have run at a time; "
+                << Target.Shared.cpuInUse() << " of "
+                << Target.Shared.capacity()
+                << " thousandths of a core are held\n";
+  if (Serving != 8)
     return CouldNotRun;
-  return Lost == 0 ? RuleHeld : RuleBroken;
+  return Most < FillingTasks ? RuleBroken : RuleHeld;
 }
 
 } // namespace
@@ -439,14 +442,14 @@
     Config.Folder = Folder;
     if (Case == "history")
       Result = playHistory(Config, WithTrouble, Record);
-    else if (Case == "takeover")
-      Result = playTakeover(Config, WithTrouble, Record);
     else if (Case == "orders")
       Result = playOrders(Config, WithTrouble, Record);
     else if (Case == "occurrences")
       Result = playOccurrences(Config, WithTrouble, Record);
-    else if (Case == "gangs")
-      Result = playGangs(Config, WithTrouble, Record);
+    else if (Case == "late-writes")
+      Result = playLateWrites(Config, WithTrouble, Record);
+    else if (Case == "filling")
+      Result = playFilling(Config, WithTrouble, Record);
   } catch (const std::exception &Problem) {
     Record << "the case could not run: " << Problem.what() << '\n';
   }
