Show that a cancelled job runs when its lost write is done late

Cause: JobIntake::cancel answers 410 from a read, and leaves nothing that would stop a write of the job that is still to come. Change: review/14.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 Program=target/review-3/review_cases
 [ -x "$Program" ] && [ -x target/daisyspool ] || exit 2
-exec "$Program" gangs target/daisyspool "review/14/record.txt"
+exec "$Program" late-writes target/daisyspool "review/14/record.txt"
