Make a DELETE that finds no job exclude a late write of it

Cause: JobIntake::cancel answered from a read and left nothing in the store. A write of the job that was on its way still met its condition. The record of the case shows the start 5.9 s after the first write was sent, and no cancellation that the leader could have missed. Change: a row per id in the table "withdrawn", which every write of a job requires as its entry knows it and which such a DELETE rewrites while no job is stored. The first of the two makes the other fail. A POST after it is answered 410.

--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -3,6 +3,7 @@
 
 #include "daisyspool/core/EventLoop.h"
 #include "daisyspool/intake/RefusalAdvice.h"
+#include "daisyspool/intake/Withdrawals.h"
 #include "daisyspool/rows/RowStore.h"
 #include "daisyspool/rows/StoreAccess.h"
 #include "daisyspool/scheduling/JobProgress.h"
@@ -28,12 +29,17 @@
 };
 /// It is unknown whether the job is stored; submitting it again is safe.
 struct Undecided {};
-using SubmitOutcome = std::variant<Accepted, Refused, Unstorable, Undecided>;
+/// The id was cancelled when no job was stored under it; none will be.
+struct IdCancelled {};
+using SubmitOutcome =
+    std::variant<Accepted, Refused, Unstorable, Undecided, IdCancelled>;
 
 struct KnownJob {
   scheduling::JobStatus Status = scheduling::JobStatus::Queued;
 };
-/// The store certainly has no such job.
+/// The store has no such job. As an answer to a cancellation also: none of the
+/// writes that were sent before stores it later. As a status it says nothing
+/// about such writes.
 struct NoSuchJob {};
 /// The store cannot be read or written now.
 struct StoreUnavailable {
@@ -56,7 +62,8 @@
   JobIntake(EventLoop &Loop, const Clock &Time, rows::RowStore &Store,
             const rows::StoreLimits &Limits,
             rows::StoreAccess *Access = nullptr)
-      : Loop(Loop), Time(Time), Store(Store), Limits(Limits), Access(Access) {}
+      : Loop(Loop), Time(Time), Store(Store), Limits(Limits), Access(Access),
+        WithdrawnIds(Loop, Time, Store) {}
   JobIntake(const JobIntake &) = delete;
   JobIntake &operator=(const JobIntake &) = delete;
 
@@ -69,7 +76,8 @@
   void status(const JobId &Job, Millis Timeout,
               std::function<void(StatusOutcome)> Done);
 
-  /// Records the cancellation of a job. \p Timeout bounds the attempts.
+  /// Records the cancellation of a job, or withdraws its id if no such job is
+  /// stored. \p Timeout bounds the attempts.
   void cancel(const JobId &Job, Millis Timeout,
               std::function<void(CancelOutcome)> Done);
 
@@ -93,13 +101,19 @@
   void reportUndecided(const Submission &Request);
   void reportRefused(const Submission &Request, const char *Cause);
   StoreUnavailable storeUnavailable() const;
+  void reportCancelled(const Submission &Request);
   void reportUnstorable(const Submission &Request, const std::string &Detail);
   void commitJob(const std::shared_ptr<Submission> &Request);
   void onCommitOutcome(const std::shared_ptr<Submission> &Request,
                        const rows::CommitOutcome &Outcome);
+  /// Returns whether a write failed because the id was cancelled. If it was
+  /// refused, the next attempt replaces the refusal.
+  static bool noteWithdrawal(Submission &Request,
+                             const rows::Conflict &Mismatch);
   void retryLater(const std::shared_ptr<Submission> &Request);
   void readJob(const JobId &Job, Millis Timeout,
                std::function<void(StatusOutcome)> Done);
+  void withdrawId(const std::shared_ptr<Cancellation> &Request);
   void writeCancellation(const std::shared_ptr<Cancellation> &Request);
 
   EventLoop &Loop;
@@ -107,6 +121,7 @@
   rows::RowStore &Store;
   rows::StoreLimits Limits;
   rows::StoreAccess *Access;
+  Withdrawals WithdrawnIds;
   RefusalAdvice Advice;
   /// Start of the first attempt since the store last answered.
   std::optional<TimePoint> UnansweredSince;
--- a/include/daisyspool/intake/Layout.h
+++ b/include/daisyspool/intake/Layout.h
@@ -18,11 +18,16 @@
 
 /// Accepted jobs, cancellations and agents; written by every entry and agent.
 inline constexpr const char *IntakeTable = "intake";
-/// The partitions of IntakeTable. Jobs are spread over them by id, as a
-/// partition applies one transaction at a time, each of up to half a second in
-/// a slow store.
+/// The partitions of IntakeTable and WithdrawnTable. Jobs are spread over them
+/// by id, as a partition applies one transaction at a time, each of up to half
+/// a second in a slow store.
 std::vector<std::string> intakePartitions();
 
+/// Ids under which no job may be stored, each in the partition of the id's job;
+/// written by every entry. No process follows this table, so that a leader and
+/// a takeover do not depend on how many ids callers withdraw.
+inline constexpr const char *WithdrawnTable = "withdrawn";
+
 /// Written only by the leader, always on condition that the fence row is
 /// unchanged.
 inline constexpr const char *LeaderPartition = "lead";
@@ -34,6 +39,7 @@
 
 rows::RowName jobRow(const JobId &Job);
 rows::RowName cancelRow(const JobId &Job);
+rows::RowName withdrawnRow(const JobId &Job);
 rows::RowName agentRow(const VmId &Vm);
 rows::RowName progressRow(const JobId &Job);
 /// The row with the tasks of \p Job from the number \p FirstTask on, of a job
--- a/include/daisyspool/leadership/LeaderDuty.h
+++ b/include/daisyspool/leadership/LeaderDuty.h
@@ -78,6 +78,9 @@
   }
   bool isLeading() const { return OwnIdentity.has_value(); }
 
+  /// A version that the store has reached, as far as this process knows.
+  rows::RowVersion storeVersion() const { return StatusWatch.version(); }
+
   /// How late this process handles its events, averaged.
   Millis lag() const { return Lag.lag(); }
 
--- a/include/daisyspool/rows/RowStore.h
+++ b/include/daisyspool/rows/RowStore.h
@@ -145,6 +145,12 @@
 }
 std::size_t encodedBytes(const RowTransaction &Transaction);
 
+/// The row \p Name among \p Rows, or null.
+///
+/// Thread safety: safe from any thread.
+const StoredRow *findRow(const std::vector<StoredRow> &Rows,
+                         const RowName &Name);
+
 /// The range that contains only the row \p Name.
 RowRange singleRowRange(const RowName &Name);
 
--- a/include/daisyspool/rows/TableWatch.h
+++ b/include/daisyspool/rows/TableWatch.h
@@ -50,6 +50,10 @@
   /// answer may wait for a busy process.
   TimePoint currentAsOf() const;
 
+  /// A version that the store had reached when it last answered; 0 before the
+  /// first answer.
+  RowVersion version() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> State;
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -45,6 +45,9 @@
   TimePoint AttemptStartedAt{};
   /// An attempt got no answer, so the job may be stored at any time.
   bool MayBeStored = false;
+  /// The version of the refusal that the job replaces; 0 if its id is not
+  /// withdrawn.
+  rows::RowVersion ReplacedRefusal;
   int Attempts = 0;
   std::function<void(SubmitOutcome)> Done;
   std::unique_ptr<Timer> RetryTimer;
@@ -169,6 +172,14 @@
   Request.Done(Unstorable{Detail});
 }
 
+void JobIntake::reportCancelled(const Submission &Request) {
+  LogEvent(LogLevel::Info, "job_refused")
+      .with("job", Request.Id)
+      .with("cause", "id_cancelled")
+      .with("spent_ms", elapsed(Request).count());
+  Request.Done(IdCancelled{});
+}
+
 void JobIntake::commitJob(const std::shared_ptr<Submission> &Request) {
   ++Request->Attempts;
   Request->AttemptStartedAt = Time.now();
@@ -176,6 +187,11 @@
     UnansweredSince = Request->AttemptStartedAt;
   rows::RowTransaction Write;
   Write.Conditions.push_back({jobRow(Request->Id), rows::RowVersion{}});
+  // See Withdrawals.
+  Write.Conditions.push_back(
+      {withdrawnRow(Request->Id), Request->ReplacedRefusal});
+  if (Request->ReplacedRefusal != rows::RowVersion{})
+    Write.Removes.push_back(withdrawnRow(Request->Id));
   Write.Puts.push_back({jobRow(Request->Id), Request->Value});
   Store.commit(Write,
                std::min(adaptiveTimeout(CallTimeout), remainingTime(*Request)),
@@ -186,9 +202,10 @@
 
 void JobIntake::onCommitOutcome(const std::shared_ptr<Submission> &Request,
                                 const rows::CommitOutcome &Outcome) {
+  const auto *Mismatch = std::get_if<rows::Conflict>(&Outcome);
   bool Stored = std::holds_alternative<rows::Committed>(Outcome) ||
                 // Another request or an earlier attempt has stored the job.
-                std::holds_alternative<rows::Conflict>(Outcome);
+                (Mismatch && findRow(Mismatch->Current, jobRow(Request->Id)));
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
     Request->MayBeStored = true;
   TimePoint Now = Time.now();
@@ -206,6 +223,8 @@
     return Request->Done(Accepted{});
   }
 
+  if (Mismatch && noteWithdrawal(*Request, *Mismatch))
+    return reportCancelled(*Request);
   if (const auto *Refusal = std::get_if<rows::Rejected>(&Outcome))
     return reportUnstorable(*Request,
                             "the store rejects the job: " + Refusal->Detail);
@@ -219,9 +238,24 @@
   }
   if (std::holds_alternative<rows::OutcomeUnknown>(Outcome))
     return probeStore(Request);
+  if (Mismatch && Request->ReplacedRefusal != rows::RowVersion{})
+    return commitJob(Request);
   retryLater(Request);
 }
 
+bool JobIntake::noteWithdrawal(Submission &Request,
+                               const rows::Conflict &Mismatch) {
+  const rows::StoredRow *Withdrawal =
+      findRow(Mismatch.Current, withdrawnRow(Request.Id));
+  Request.ReplacedRefusal =
+      Withdrawal ? Withdrawal->Version : rows::RowVersion{};
+  // It is newer than all attempts so far, which therefore fail.
+  if (Withdrawal)
+    Request.MayBeStored = false;
+  return Withdrawal &&
+         decodeWithdrawal(*Withdrawal) == WithdrawalCause::Cancelled;
+}
+
 void JobIntake::retryLater(const std::shared_ptr<Submission> &Request) {
   Request->RetryTimer->start(RetryDelay,
                              [this, Request, Self = std::weak_ptr(Alive)] {
@@ -277,13 +311,29 @@
   Request->Done = std::move(Done);
   readJob(Job, Timeout, [this, Request](const StatusOutcome &Outcome) {
     if (std::holds_alternative<NoSuchJob>(Outcome))
-      return Request->Done(NoSuchJob{});
+      return withdrawId(Request);
     if (std::holds_alternative<StoreUnavailable>(Outcome))
       return Request->Done(storeUnavailable());
     writeCancellation(Request);
   });
 }
 
+/// Load pattern: a caller whose submission got no answer cancels the job, which
+/// the store writes seconds later.
+void JobIntake::withdrawId(const std::shared_ptr<Cancellation> &Request) {
+  auto Left =
+      std::chrono::duration_cast<Millis>(Request->Deadline - Time.now());
+  WithdrawnIds.withdraw(
+      Request->Id, WithdrawalCause::Cancelled, Left,
+      [this, Request](const WithdrawOutcome &Outcome) {
+        if (std::holds_alternative<Withdrawn>(Outcome))
+          return Request->Done(NoSuchJob{});
+        if (std::holds_alternative<WithdrawalUnknown>(Outcome))
+          return Request->Done(storeUnavailable());
+        writeCancellation(Request);
+      });
+}
+
 void JobIntake::writeCancellation(
     const std::shared_ptr<Cancellation> &Request) {
   rows::RowTransaction Write;
--- a/src/intake/Layout.cpp
+++ b/src/intake/Layout.cpp
@@ -59,6 +59,10 @@
   return {IntakeTable, partitionOf(Job), prefixedKey(CancelPrefix, Job.str())};
 }
 
+rows::RowName withdrawnRow(const JobId &Job) {
+  return {WithdrawnTable, partitionOf(Job), Job.str()};
+}
+
 rows::RowName agentRow(const VmId &Vm) {
   return {IntakeTable, partitionName(0), prefixedKey(AgentPrefix, Vm.str())};
 }
--- a/src/leadership/LeaderDuty.cpp
+++ b/src/leadership/LeaderDuty.cpp
@@ -228,10 +228,9 @@
   if (const auto *Mismatch = std::get_if<rows::Conflict>(&Outcome)) {
     // The store may have applied an earlier attempt of this transaction without
     // answering; the fence row then has its number.
-    for (const rows::StoredRow &Row : Mismatch->Current)
-      if (Row.Name == intake::fenceRow() &&
-          tryDecodeFence(Row) == Pending->OwnFence)
-        return onCommitted(*Pending, Row.Version);
+    const rows::StoredRow *Row = findRow(Mismatch->Current, intake::fenceRow());
+    if (Row && tryDecodeFence(*Row) == Pending->OwnFence)
+      return onCommitted(*Pending, Row->Version);
     return stepDown("fenced_off");
   }
   if (const auto *Refusal = std::get_if<rows::Rejected>(&Outcome))
--- a/src/rows/RowStore.cpp
+++ b/src/rows/RowStore.cpp
@@ -1,5 +1,7 @@
 #include "daisyspool/rows/RowStore.h"
 
+#include <algorithm>
+
 namespace daisyspool::rows {
 
 namespace {
@@ -22,6 +24,14 @@
   return Sum;
 }
 
+const StoredRow *findRow(const std::vector<StoredRow> &Rows,
+                         const RowName &Name) {
+  auto Found =
+      std::find_if(Rows.begin(), Rows.end(),
+                   [&Name](const StoredRow &Row) { return Row.Name == Name; });
+  return Found == Rows.end() ? nullptr : &*Found;
+}
+
 RowRange singleRowRange(const RowName &Name) {
   // '!' sorts before every character that is used in keys.
   return {Name.Table, Name.Partition, Name.Key, Name.Key + "!"};
--- a/src/rows/TableWatch.cpp
+++ b/src/rows/TableWatch.cpp
@@ -41,6 +41,7 @@
 
   TimePoint LastAnswer{};
   TimePoint CurrentAsOf{};
+  RowVersion Version;
 
 private:
   void readPage(const std::string &Partition, const std::string &From) {
@@ -192,7 +193,6 @@
   std::set<RowName> KnownNames;
   std::optional<RowVersion> OldestPageVersion;
   std::size_t UnreadPartitions = 0;
-  RowVersion Version;
   bool Failing = false;
   bool Closed = false;
 };
@@ -210,4 +210,6 @@
 
 TimePoint TableWatch::currentAsOf() const { return State->CurrentAsOf; }
 
+RowVersion TableWatch::version() const { return State->Version; }
+
 } // namespace daisyspool::rows
--- a/tests/fleet/VirtualFleet.h
+++ b/tests/fleet/VirtualFleet.h
@@ -200,7 +200,10 @@
               [&Owner, this](const http::Endpoint &Agent) {
                 return Owner.openChannel(Agent, Alive, Cpu);
               },
-              options(Owner, Number)) {
+              options(Owner, Number)),
+          Cleanup(Cpu, Owner.Loop, Store, {},
+                  {[this] { return Leader.isLeading(); },
+                   [this] { return Leader.storeVersion(); }}) {
       auto Set = Owner.TimePerEvent.find(Number);
       if (Set != Owner.TimePerEvent.end())
         Cpu.TimePerEvent = Set->second;
@@ -237,6 +240,7 @@
     rows::ObservedStore Store;
     intake::JobIntake Intake;
     leadership::LeaderDuty Leader;
+    intake::WithdrawalCleanup Cleanup;
     platform::EvacuationOrders Evacuations;
     std::unique_ptr<rows::TableWatch> OperatorWatch;
   };
@@ -273,6 +277,7 @@
         [this, Id = Job.Id](const intake::SubmitOutcome &Outcome) {
           if (std::holds_alternative<intake::Accepted>(Outcome))
             AcceptedJobs.insert(Id);
+          SubmitAnswers.insert_or_assign(Id, Outcome);
           if (std::holds_alternative<intake::Refused>(Outcome))
             RefusedJobs.insert(Id);
         });
@@ -290,8 +295,10 @@
 
   void cancel(std::size_t EntryIndex, const JobId &Job) {
     if (Entries[EntryIndex])
-      Entries[EntryIndex]->Intake.cancel(Job, Millis(2500),
-                                         [](const intake::CancelOutcome &) {});
+      Entries[EntryIndex]->Intake.cancel(
+          Job, Millis(2500), [this, Job](const intake::CancelOutcome &Outcome) {
+            CancelAnswers.insert_or_assign(Job, Outcome);
+          });
   }
 
   /// Runs until all accepted jobs have the status \p Wanted, or for \p
@@ -328,6 +335,9 @@
   std::vector<std::unique_ptr<Entry>> Entries;
   std::set<JobId> AcceptedJobs;
   std::set<JobId> RefusedJobs;
+  /// The newest answers, by job.
+  std::map<JobId, intake::SubmitOutcome> SubmitAnswers;
+  std::map<JobId, intake::CancelOutcome> CancelAnswers;
 
 private:
   /// Delivers a sync to the agent process that runs when the sync arrives.
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -34,14 +34,17 @@
   std::string SilentTable;
   /// Share of transactions whose answer is lost.
   double LostAnswerShare = 0;
-  /// Transactions whose answer is lost are applied 2.5 s later instead of at
-  /// once.
+  /// Transactions whose answer is lost are applied after LateWriteDelay instead
+  /// of at once.
   bool ApplyLostWritesLate = false;
+  Millis LateWriteDelay{2500};
   Millis Delay{4};
   rows::StoreLimits Limits;
   /// Rows of keys that begin so are rejected.
   std::string RejectedKey;
   std::size_t Rejections = 0;
+  /// Called for each read that is executed.
+  std::function<void(const rows::RowRange &)> OnRead;
   /// Changes before this version are no longer available.
   rows::RowVersion HistoryTrimmedTo;
 
@@ -182,7 +185,7 @@
         return answer(Backend, CallerAlive, Backend.Delay, Done,
                       Backend.apply(Transaction));
       if (Backend.ApplyLostWritesLate)
-        Backend.Loop.after(Millis(2500), [&Backend, Transaction] {
+        Backend.Loop.after(Backend.LateWriteDelay, [&Backend, Transaction] {
           Backend.apply(Transaction);
         });
       else
@@ -207,6 +210,8 @@
         return answer(Backend, CallerAlive,
                       std::max(Timeout - Backend.Delay, Millis(0)), Done,
                       rows::ReadOutcome(rows::ReadFailed{"timeout"}));
+      if (Backend.OnRead)
+        Backend.OnRead(Range);
       answer(Backend, CallerAlive, Backend.Delay, Done,
              rows::ReadOutcome(Backend.page(Range)));
     });
