Exclude a late write of a job that is refused for want of room

Callers would see: 503, which says that the job never runs, and the job runs. Cause: the refusal followed a read that found no job, while the write of an earlier submission without an answer could still be carried out. Change: the refusal withdraws the id like a cancellation, but a later submission replaces it. A refusal never replaces a cancellation.

--- a/include/daisyspool/intake/JobIntake.h
+++ b/include/daisyspool/intake/JobIntake.h
@@ -72,6 +72,11 @@
   void submit(const workload::JobRecord &Job, Millis Timeout,
               std::function<void(SubmitOutcome)> Done);
 
+  /// Withdraws the id of a job that is refused without a write, so that no
+  /// earlier write of it takes effect either. \p Timeout bounds the attempts.
+  void refuse(const JobId &Job, Millis Timeout,
+              std::function<void(WithdrawOutcome)> Done);
+
   /// Reads the status of a job. \p Timeout bounds each call to the store.
   void status(const JobId &Job, Millis Timeout,
               std::function<void(StatusOutcome)> Done);
--- a/src/intake/JobIntake.cpp
+++ b/src/intake/JobIntake.cpp
@@ -264,6 +264,14 @@
                              });
 }
 
+void JobIntake::refuse(const JobId &Job, Millis Timeout,
+                       std::function<void(WithdrawOutcome)> Done) {
+  if (shouldRefuseUnsent())
+    return Done(WithdrawalUnknown{});
+  WithdrawnIds.withdraw(Job, WithdrawalCause::Refused, Timeout,
+                        std::move(Done));
+}
+
 void JobIntake::status(const JobId &Job, Millis Timeout,
                        std::function<void(StatusOutcome)> Done) {
   if (shouldRefuseUnsent())
--- a/tests/intake/WithdrawalsTest.cpp
+++ b/tests/intake/WithdrawalsTest.cpp
@@ -35,6 +35,19 @@
         [this](const CancelOutcome &Outcome) { Cancelled = Outcome; });
   }
 
+  void refuse(std::size_t At, const std::string &Id) {
+    Refusal.reset();
+    Entries[At].Intake.refuse(
+        JobId(Id), Millis(2500),
+        [this](const WithdrawOutcome &Outcome) { Refusal = Outcome; });
+    Loop.runFor(Millis(300));
+  }
+  /// Whether the last refusal was recorded and is not a cancellation.
+  bool isRefused() const {
+    const auto *Known = Refusal ? std::get_if<Withdrawn>(&*Refusal) : nullptr;
+    return Known && Known->Cause == WithdrawalCause::Refused;
+  }
+
   /// Submits a job whose writes are applied after \p Delay.
   void submitLate(std::size_t At, const std::string &Id, Millis Delay) {
     Store.LostAnswerShare = 1;
@@ -60,6 +73,7 @@
   std::array<Entry, 2> Entries{Entry(*this, "a"), Entry(*this, "b")};
   std::optional<SubmitOutcome> Submitted;
   std::optional<CancelOutcome> Cancelled;
+  std::optional<WithdrawOutcome> Refusal;
 };
 
 } // namespace
@@ -152,3 +166,48 @@
   REQUIRE_FALSE(Setup.isWithdrawn("a"));
   REQUIRE(Setup.isStored("a"));
 }
+
+// Guards against a refused job that is stored by a write sent before any of
+// its refusals, and against a refusal that keeps a later submission out.
+TEST_CASE("a refused id is stored only by a later submission") {
+  Fixture Setup;
+  for (int Round = 0; Round < 3; ++Round) {
+    // The second and third submission replace a refusal.
+    Setup.submitLate(0, "a", Millis(6000));
+    Setup.refuse(1, "a");
+    REQUIRE(Setup.isRefused());
+    Setup.Loop.runFor(Millis(10000));
+    REQUIRE_FALSE(Setup.isStored("a"));
+  }
+  Setup.submit(0, "a");
+  Setup.Loop.runFor(Millis(100));
+  REQUIRE(std::holds_alternative<Accepted>(*Setup.Submitted));
+  REQUIRE_FALSE(Setup.isWithdrawn("a"));
+  Setup.refuse(1, "a");
+  REQUIRE(std::holds_alternative<JobIsStored>(*Setup.Refusal));
+}
+
+// Guards against a cancellation that a refusal replaces, so that a later
+// submission would be accepted, and against one that a refusal hides.
+TEST_CASE("a refusal does not replace a cancellation") {
+  Fixture Setup;
+  Setup.refuse(0, "a");
+  REQUIRE(Setup.isRefused());
+  Setup.cancel(1, "a");
+  Setup.Loop.runFor(Millis(100));
+  Setup.refuse(0, "a");
+  REQUIRE_FALSE(Setup.isRefused());
+  Setup.submit(0, "a");
+  Setup.Loop.runFor(Millis(200));
+  REQUIRE(std::holds_alternative<IdCancelled>(*Setup.Submitted));
+}
+
+// Guards against a refusal that is reported although the store has not
+// confirmed it.
+TEST_CASE("a refusal without an answer is not confirmed") {
+  Fixture Setup;
+  Setup.Store.Silent = true;
+  Setup.refuse(0, "a");
+  Setup.Loop.runFor(Millis(2500));
+  REQUIRE(std::holds_alternative<WithdrawalUnknown>(*Setup.Refusal));
+}
