Let callers of the soak give up and cancel elsewhere

Change: half of the callers without a final answer, and an eighth of all before their answer, cancel at another entry; lost writes are applied after 1 to 6 s. A job must not run after a 410 to its DELETE, nor start 7.3 s after a 200.

--- a/soak/SoakEvacuations.h
+++ b/soak/SoakEvacuations.h
@@ -55,9 +55,9 @@
     if (Ended || Number != Count || Domain.empty())
       return;
     for (const auto &Worker : Workers)
-      for (TimePoint At : Worker->PromptStarts)
+      for (const SoakWorker::PromptStart &Start : Worker->PromptStarts)
         if (Worker->Tasks.Domain == FailureDomainId(Domain) &&
-            At > OrderedAt + Bound + LongestCut)
+            Start.At > OrderedAt + Bound + LongestCut)
           Failures.push_back("start in evacuated domain " + Domain);
     rows::RowTransaction Write;
     Write.Removes.push_back(rowName(Domain));
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -4,6 +4,7 @@
 #define DAISYSPOOL_SOAK_SOAKRUN_H
 
 #include "LinkRoute.h"
+#include "SoakCancellations.h"
 #include "SoakEvacuations.h"
 #include "SoakProcess.h"
 #include "SoakWorker.h"
@@ -228,23 +229,39 @@
   void submit(Caller &Submitted) {
     if (--Submitted.AttemptsLeft < 0)
       return;
-    EntryClients[draw(EntryClients.size())]->send(
+    std::size_t Entry = draw(EntryClients.size());
+    EntryClients[Entry]->send(
         request("POST", Submitted.Job, Submitted.Body), Millis(3000),
-        [this, &Submitted](const http::Response &Answer,
-                           const std::exception_ptr &Failure) {
+        [this, &Submitted, Entry](const http::Response &Answer,
+                                  const std::exception_ptr &Failure) {
           bool Sent = !Failure || !isNotSent(Failure);
           if (!Failure && Answer.Status == 200) {
             Submitted.Accepted = true;
             if (draw(10) == 0)
-              Loop.after(Millis(draw(1500)),
-                         [this, &Submitted] { cancel(Submitted); });
+              Loop.after(Millis(draw(1500)), [this, &Submitted, Entry] {
+                giveUp(Submitted, Entry);
+              });
             return;
           }
           bool Refused =
               !Failure && (Answer.Status == 503 || Answer.Status == 429);
-          Submitted.MayRun = Submitted.MayRun || (Sent && !Refused);
+          bool MayRun = Sent && !Refused;
+          Submitted.MayRun = Submitted.MayRun || MayRun;
+          if (MayRun && Cancellations.isOneIn(2))
+            return giveUp(Submitted, Entry);
           Loop.after(Millis(300), [this, &Submitted] { submit(Submitted); });
         });
+    if (Cancellations.isOneIn(8))
+      Loop.after(Cancellations.impatience(),
+                 [this, &Submitted, Entry] { giveUp(Submitted, Entry); });
+  }
+
+  /// Cancels the job at another entry than \p Entry, once. Its submission may
+  /// still be on its way; it is not repeated.
+  void giveUp(Caller &Submitted, std::size_t Entry) {
+    Submitted.AttemptsLeft = 0;
+    if (!std::exchange(Submitted.CancelSent, true))
+      Cancellations.cancel(Submitted.Job, Entry);
   }
 
   static bool isNotSent(const std::exception_ptr &Failure) {
@@ -255,13 +272,6 @@
     }
   }
 
-  void cancel(Caller &Submitted) {
-    Submitted.CancelSent = true;
-    EntryClients[draw(EntryClients.size())]->send(
-        request("DELETE", Submitted.Job), Millis(3000),
-        [](const http::Response &, const std::exception_ptr &) {});
-  }
-
   /// Calls \p On now and \p Off after \p Span.
   void applyFor(Millis Span, const std::function<void()> &On,
                 const std::function<void()> &Off) {
@@ -316,6 +326,7 @@
       break;
     case 7:
       Store.Rows.ApplyLostWritesLate = draw(2) == 0;
+      Store.Rows.LateWriteDelay = Cancellations.lateWriteDelay();
       applyFor(
           Span, [&] { Store.Rows.LostAnswerShare = 0.35; },
           [this] { Store.Rows.LostAnswerShare = 0; });
@@ -416,14 +427,17 @@
     }
     if (Accepted == 0)
       Failures.emplace_back("no job was accepted");
-    for (const auto &Found : {Checks.Violations, Evacuations.Failures})
+    for (const auto &Found :
+         {Checks.Violations, Evacuations.Failures,
+          Cancellations.failures(Checks, SoakEvacuations::LongestCut)})
       Failures.insert(Failures.end(), Found.begin(), Found.end());
     for (std::size_t I = 0; I < Processes.size(); ++I)
       if (Processes[I]->endedUnexpectedly())
         Failures.push_back("process " + std::to_string(I) + " ended by itself");
     std::cout << "seed " << Config.Seed << ": " << Callers.size() << " jobs, "
               << Accepted << " accepted, " << Checks.Starts << " starts, "
-              << Checks.Lapses << " lapses, " << Failures.size() << " broken\n";
+              << Checks.Lapses << " lapses, " << Cancellations.answered()
+              << " cancelled, " << Failures.size() << " broken\n";
     Finished = true;
   }
 
@@ -446,6 +460,7 @@
   SoakEvacuations Evacuations{Loop, Store.Rows, Workers, Config.Seed};
   std::vector<std::unique_ptr<SoakProcess>> Processes;
   std::vector<std::unique_ptr<http::Client>> EntryClients;
+  SoakCancellations Cancellations{Loop, EntryClients, Workers, Config.Seed};
   std::vector<std::unique_ptr<Caller>> Callers;
   std::vector<std::string> Failures;
   bool FaultsEnded = false;
--- a/soak/SoakStore.h
+++ b/soak/SoakStore.h
@@ -61,7 +61,6 @@
 
 private:
   static constexpr Millis PollInterval{5};
-  static constexpr Millis LateWriteDelay{2500};
 
   void serve(const http::Request &Received, const ExchangePtr &Answer) {
     if (Rows.Silent) {
@@ -141,7 +140,7 @@
 
     if (Rows.chance(Rows.LostAnswerShare)) {
       if (Rows.ApplyLostWritesLate)
-        Loop.after(LateWriteDelay, [this, Writes] { Rows.apply(Writes); });
+        Loop.after(Rows.LateWriteDelay, [this, Writes] { Rows.apply(Writes); });
       else
         Rows.apply(Writes);
       Unanswered.push_back(Answer);
--- a/soak/SoakWorker.h
+++ b/soak/SoakWorker.h
@@ -32,8 +32,12 @@
   http::Endpoint endpoint() const { return HttpServer.endpoint(); }
 
   VirtualWorker Tasks;
-  /// When runs started whose order was carried out at once.
-  std::vector<TimePoint> PromptStarts;
+  /// A run that started as its order arrived.
+  struct PromptStart {
+    TimePoint At{};
+    JobId Job;
+  };
+  std::vector<PromptStart> PromptStarts;
 
 private:
   static constexpr Millis AnnounceInterval{500};
@@ -90,7 +94,7 @@
       std::size_t StartsBefore = Tasks.startsSince({});
       Answer->respond(execute(Received));
       if (Tasks.startsSince({}) > StartsBefore)
-        PromptStarts.push_back(Loop.now());
+        PromptStarts.push_back({Loop.now(), jobOf(Received)});
     } catch (const json::exception &Problem) {
       Answer->respond(jsonResponse({{"detail", Problem.what()}}, 400));
     }
@@ -108,6 +112,13 @@
         http::findHeader(Received.Headers, "X-Expected-Instance").value_or(""));
   }
 
+  /// The job of a command that was executed.
+  static JobId jobOf(const http::Request &Received) {
+    return workload::parseTaskName(
+               json::parse(Received.Body).at("task").get<std::string>())
+        ->Job;
+  }
+
   /// Executes a start, stop or pace command; a pace has no effect.
   http::Response execute(const http::Request &Received) {
     json From = json::parse(Received.Body);
