Double the delay between repetitions of a withdrawal

Cause: a withdrawal that the store turned away was repeated each 120 ms until its caller's deadline, about 20 times. A client that cancels more ids than the store takes writes would so take the writes of the leader and of submissions. Change: the delay doubles each time; a refusal that finds another one replaces it without a delay.

--- a/src/intake/Withdrawals.cpp
+++ b/src/intake/Withdrawals.cpp
@@ -4,13 +4,16 @@
 #include "daisyspool/telemetry/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisyspool::intake {
 
 namespace {
 
-/// Delay before a call that did not succeed is repeated.
-constexpr Millis RetryDelay{120};
+/// Delay before the first repetition of a call that did not succeed. It doubles
+/// each time: a store that limits its writes must not get several for each
+/// request of a client that sends too many.
+constexpr Millis FirstRetryDelay{120};
 /// Timeout of one call to the store; a slow store takes up to half a second.
 constexpr Millis CallTimeout{1000};
 
@@ -37,6 +40,7 @@
   /// The version of the refusal that a refusal replaces; 0 if there is none.
   rows::RowVersion Replaced;
   TimePoint Deadline{};
+  Millis RetryDelay = FirstRetryDelay;
   std::function<void(WithdrawOutcome)> Done;
   std::unique_ptr<Timer> RetryTimer;
 };
@@ -77,27 +81,30 @@
         .with("cause", encodeWithdrawal(Pending->Cause));
     return Pending->Done(Withdrawn{Pending->Cause});
   }
+  const rows::StoredRow *Known = nullptr;
   if (const auto *Mismatch = std::get_if<rows::Conflict>(&Outcome)) {
     if (findRow(Mismatch->Current, jobRow(Pending->Id)))
       return Pending->Done(JobIsStored{});
-    const rows::StoredRow *Known =
-        findRow(Mismatch->Current, withdrawnRow(Pending->Id));
+    Known = findRow(Mismatch->Current, withdrawnRow(Pending->Id));
     if (Known && decodeWithdrawal(*Known) == WithdrawalCause::Cancelled)
       return Pending->Done(Withdrawn{WithdrawalCause::Cancelled});
     Pending->Replaced = Known ? Known->Version : rows::RowVersion{};
   }
   if (std::holds_alternative<rows::Rejected>(Outcome) ||
-      Time.now() + RetryDelay >= Pending->Deadline) {
+      Time.now() + Pending->RetryDelay >= Pending->Deadline) {
     LogEvent(LogLevel::Warning, "job_id_withdrawal_unknown")
         .with("job", Pending->Id)
         .with("cause", encodeWithdrawal(Pending->Cause));
     return Pending->Done(WithdrawalUnknown{});
   }
-  Pending->RetryTimer->start(RetryDelay,
-                             [this, Pending, Self = std::weak_ptr(Alive)] {
-                               if (!Self.expired())
-                                 send(Pending);
-                             });
+  if (Known)
+    return send(Pending);
+  Pending->RetryTimer->start(
+      std::exchange(Pending->RetryDelay, 2 * Pending->RetryDelay),
+      [this, Pending, Self = std::weak_ptr(Alive)] {
+        if (!Self.expired())
+          send(Pending);
+      });
 }
 
 } // namespace daisyspool::intake
--- a/tests/fleet/VirtualStore.h
+++ b/tests/fleet/VirtualStore.h
@@ -43,6 +43,8 @@
   /// Rows of keys that begin so are rejected.
   std::string RejectedKey;
   std::size_t Rejections = 0;
+  /// Number of transactions that were turned away.
+  std::size_t RefusedCommits = 0;
   /// Called for each read that is executed.
   std::function<void(const rows::RowRange &)> OnRead;
   /// Changes before this version are no longer available.
@@ -170,9 +172,11 @@
       if (Backend.Resets)
         return answer(Backend, CallerAlive, Millis(1), Done,
                       rows::CommitOutcome(rows::OutcomeUnknown{"reset"}));
-      if (Backend.refuses(Name))
+      if (Backend.refuses(Name)) {
+        ++Backend.RefusedCommits;
         return answer(Backend, CallerAlive, Millis(1), Done,
                       rows::CommitOutcome(rows::NotApplied{"busy"}));
+      }
       bool Lost = Backend.chance(Backend.LostAnswerShare);
       // A timeout of the caller does not undo its transaction.
       if (!Lost && 2 * Backend.Delay > Timeout) {
--- a/tests/intake/WithdrawalsTest.cpp
+++ b/tests/intake/WithdrawalsTest.cpp
@@ -211,3 +211,14 @@
   Setup.Loop.runFor(Millis(2500));
   REQUIRE(std::holds_alternative<WithdrawalUnknown>(*Setup.Refusal));
 }
+
+// Load pattern: a client sends more cancellations than the store takes writes.
+// Guards against repetitions that multiply them.
+TEST_CASE("a withdrawal that the store turns away is seldom repeated") {
+  Fixture Setup;
+  Setup.Store.Down = true;
+  Setup.refuse(0, "a");
+  Setup.Loop.runFor(Millis(2500));
+  REQUIRE(std::holds_alternative<WithdrawalUnknown>(*Setup.Refusal));
+  REQUIRE(Setup.Store.RefusedCommits <= 5);
+}
